--- /dev/null
+++ b/saltcart/__init__.py
@@ -0,0 +1,1 @@
+"""saltcart: an overload controller that lives inside each server of a fleet."""
--- a/swifthaven/balance.py
+++ b/saltcart/balance.py
@@ -1,4 +1,4 @@
-"""Every decision of swifthaven.  Its types, events and actions: ``swifthaven/interface.py``.
+"""Every decision of saltcart.  Its types, events and actions: ``saltcart/interface.py``.
 
 The mechanism is Pan et al.'s; docs/design.md tells what is kept, what is added and when each addition acts.
 """
@@ -12,7 +12,7 @@
 from operator import mul
 from typing import Any
 
-from swifthaven.interface import (
+from saltcart.interface import (
     Abandoned, Action, Advise, Arrived, AtCall, Below, Call, CallEnded, Effect, Event, Fail, Finished,
     Health, IdleClose, Keep, Leaving, Note, Outcome, Preemption, Release, Run, Settings, Share, Signal,
     SkipCall, Started, Stop, TurnAway, Wake, Woken,
--- a/swifthaven/drill.py
+++ b/saltcart/drill.py
@@ -1,6 +1,6 @@
 """Adapter: the simulator's wire on standard input and output, one Controller for each worker.
 
-Translates and nothing else; every decision is in ``swifthaven.balance``.
+Translates and nothing else; every decision is in ``saltcart.balance``.
 """
 
 from __future__ import annotations
@@ -10,8 +10,8 @@
 import sys
 from typing import Any, TextIO
 
-from swifthaven import interface as i
-from swifthaven.balance import Controller
+from saltcart import interface as i
+from saltcart.balance import Controller
 
 EFFECTS = {
     "read_like": i.Effect.SAFE, "idempotency_key": i.Effect.KEYED, "non_idempotent": i.Effect.UNSAFE,
@@ -305,7 +305,7 @@
         sys.stdin.reconfigure(encoding="utf-8")  # type: ignore[union-attr]
         serve(sys.stdin, sys.stdout)
     except (WireError, UnicodeDecodeError) as error:
-        print(f"swifthaven: {error}", file=sys.stderr)
+        print(f"saltcart: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/swifthaven/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""swifthaven: an overload controller that lives inside each server of a fleet."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-import swifthaven.balance as balance
-from swifthaven import interface as i
-from swifthaven.balance import Climber, Controller, Pairs
+import saltcart.balance as balance
+from saltcart import interface as i
+from saltcart.balance import Climber, Controller, Pairs
 
 LOW = i.ClassSpec("low", i.Effect.SAFE, 1.0, 4.0, 1.0)
 TOP = i.ClassSpec("top", i.Effect.KEYED, 1.0, 4.0, 10.0, window=8.0)
@@ -54,7 +54,7 @@
     lines = Path(balance.__file__).read_text().splitlines()
     assert len([x for x in lines if x.strip()]) <= 400
     assert max(map(len, lines)) <= 110
-    assert "swifthaven/interface.py" in lines[0]
+    assert "saltcart/interface.py" in lines[0]
 
 
 # ---- the mechanism ---------------------------------------------------------------------------
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from swifthaven import interface as i
-from swifthaven.balance import Controller
+from saltcart import interface as i
+from saltcart.balance import Controller
 
 CLASSES = (
     i.ClassSpec("read", i.Effect.SAFE, 1.0, 3.0, 1.0, calls_below=True, skip_worth=0.5),
