--- /dev/null
+++ b/saltcart/config.py
@@ -0,0 +1,63 @@
+"""What the program is told: the platform's JSON object and, off the platform, a deployment file of ours."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+from saltcart.drill import Fields, WireError, read_settings
+from saltcart.interface import Settings
+
+GAUGES = ("cpu_busy", "runnable", "mem_used", "sockets")
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: str
+    pool: str | None
+    announce: str | None
+    index: str | None
+    seed: int
+    stop_after: float  # seconds from the notice to the kill
+    sockets: int
+    settings: Settings
+    gauges: tuple[str, ...]  # names of the pool's gauges, in their order
+
+
+def read_config(raw: Any, environment: Mapping[str, str] = MappingProxyType({})) -> Config:
+    """The platform's object; the name and address in the environment come first."""
+    try:
+        f = Fields(raw, "config")
+        limits = Fields(f.raw.get("limits") or {}, "config.limits")
+        wire = f.part("settings")
+        names = wire.part("extra").array("gauges", [])
+        seed = f.text("seed", "0")
+        return Config(
+            environment.get("BALANCER_NAME") or f.text("name"),
+            environment.get("BALANCER_LISTEN") or f.text("listen"),
+            f.text("pool", None), f.text("announce", None), f.text("index", None), int(seed, 16),
+            f.number("stop_ms", 5000.0) / 1000, limits.integer("sockets", 1024, low=64), read_settings(wire),
+            tuple(g if g in GAUGES else f"other_{n}" for n, g in enumerate(names)))
+    except (WireError, ValueError) as error:
+        raise ConfigError(str(error)) from None
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Config:
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG names no file")
+    try:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return read_config(raw, environment)
--- /dev/null
+++ b/saltcart/core/__init__.py
@@ -0,0 +1,1 @@
+"""The service: requests, keys, results, timers, health and drain, behind small ports."""
--- /dev/null
+++ b/saltcart/core/ports.py
@@ -0,0 +1,96 @@
+"""What the core exchanges with the outside, and the ports it calls.  No wire, socket or event loop here."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import Protocol
+
+from saltcart.interface import Outcome
+
+
+class Verdict(enum.Enum):
+    """The final answer's kind; each front has its own status for it."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Answer:
+    """One final answer."""
+
+    verdict: Verdict
+    body: bytes = b""
+    hint: float | None = None  # the free value
+    back_off: float = 0.0  # seconds
+    final: bool = False  # asks that no other server is tried
+
+
+@dataclass(slots=True)
+class Ask:
+    """A request as a front has read it."""
+
+    ident: bytes
+    klass: str
+    account: str
+    received: float  # when it came to the machine, Unix seconds
+    budget: float | None  # seconds from ``received``
+    size_kb: float
+    standing: float
+    cost: float | None = None
+    caller: int = 0
+    key: bytes | None = None
+    subject: str | None = None
+    body: bytes = b""
+
+
+class Reply(Protocol):
+    """Where one request's final answer goes; called once at most."""
+
+    def __call__(self, answer: Answer) -> None: ...
+
+
+class Runs(Protocol):
+    """Who does the work."""
+
+    def spawn(self, ident: bytes, klass: str, body: bytes, once: bool) -> None: ...
+    def suspend(self, ident: bytes) -> None: ...
+    def proceed(self, ident: bytes) -> None: ...
+    def supply(self, ident: bytes, reply: bytes) -> None: ...
+    def skip(self, ident: bytes, notice: int) -> None: ...
+    def poll(self) -> None: ...
+
+
+class Calls(Protocol):
+    """Calls to what lies below."""
+
+    def call(self, ident: bytes, limit: float, body: bytes) -> None: ...
+    def give_up(self, ident: bytes) -> None: ...
+
+
+class Announce(Protocol):
+    """Where the service tells that it takes requests."""
+
+    def accepting(self, on: bool) -> None: ...
+
+
+class Log(Protocol):
+    def __call__(self, event: str, **fields: object) -> None: ...
+
+
+class RunEvents(Protocol):
+    """The core's half of ``Runs``: what a pool tells it."""
+
+    def pool_up(self, cold: bool, age: float) -> None: ...
+    def run_ended(self, ident: bytes, outcome: Outcome, took: float, result: bytes) -> None: ...
+    def run_blocked(self, ident: bytes, notice: int, body: bytes) -> None: ...
+    def run_lost(self, ident: bytes) -> None: ...
+    def gauges(self, values: tuple[float, ...]) -> None: ...
+
+
+class CallEvents(Protocol):
+    """The core's half of ``Calls``."""
+
+    def call_ended(self, ident: bytes, outcome: Outcome, reply: bytes) -> None: ...
--- /dev/null
+++ b/saltcart/core/service.py
@@ -0,0 +1,445 @@
+"""The service round the decision module: what comes in becomes its events, its actions become calls on ports.
+
+The rules that every front keeps live here, once: one final answer by the due time, at most one run of a keyed
+request, nothing run too late in a drain.  The module decides; what stands here only guards those rules.
+"""
+
+from __future__ import annotations
+
+import enum
+import itertools
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import replace
+
+from saltcart import interface as i
+from saltcart.balance import Controller
+from saltcart.core.keys import Entry, Key, KeyTable
+from saltcart.core.ports import Announce, Answer, Ask, Calls, Log, Reply, Runs, Verdict
+from saltcart.core.timers import Timers
+
+CALL_SLACK = 0.25  # a call that gets no reply in its time is given up this much later
+STOP_MARGIN = 0.12  # everything is answered this long before the process is stopped
+UNSERVED_BACK_OFF = 0.25  # where the core itself refuses: no pool yet, or no room for a key
+LOST_GRACE = 2.0  # an answered run that was told to stop and is not heard of is taken off the books
+
+
+class Unacceptable(Exception):
+    """The request breaks the protocol: nothing was taken, the front says so to its client."""
+
+
+class State(enum.Enum):
+    HELD = "held"
+    JOINED = "waits for another try's result"
+    RUNNING = "running"
+    PAUSED = "paused"
+    BLOCKED = "waits for leave to call"
+    CALLING = "at a call"
+
+
+OFF_POOL = (State.HELD, State.JOINED)
+
+
+class Request:
+    """One request from its reading to the end of its run."""
+
+    __slots__ = ("ask", "call_at", "call_body", "call_number", "due", "key", "notice", "number", "reply",
+                 "spec", "state", "stopped")
+
+    def __init__(self, number: int, ask: Ask, spec: i.ClassSpec, due: float, reply: Reply) -> None:
+        self.number, self.ask, self.spec, self.due = number, ask, spec, due
+        self.reply: Reply | None = reply  # None once the answer is given or the caller gone
+        self.state, self.stopped = State.HELD, False
+        self.key: Key | None = None
+        self.notice, self.call_body, self.call_at, self.call_number = 0, b"", 0.0, 0
+
+
+class Service:
+    """One server's requests, keys, timers, health and drain."""
+
+    def __init__(self, settings: i.Settings, gauge_names: tuple[str, ...], seed: int,
+                 clock: Callable[[], float], log: Log, max_keys: int = 4096) -> None:
+        self.settings, self.seed, self.clock, self.log = settings, seed, clock, log
+        self.gauge_names, self.gauge_values = gauge_names, dict[str, float]()
+        self.klass = {c.name: n for n, c in enumerate(settings.classes)}
+        self.tenant = {t.name: n for n, t in enumerate(settings.tenants)}
+        self.controller: Controller | None = None
+        self.runs: Runs
+        self.calls: Calls | None = None
+        self.announce: Announce | None = None
+        self.timers = Timers()
+        self.now = clock()
+        self.numbers = itertools.count(1)
+        self.requests: dict[int, Request] = {}
+        self.by_ident: dict[bytes, Request] = {}
+        # A try may be read late: as long as its caller can wait at all.
+        self.keys = KeyTable(max_keys, max(c.deadline for c in settings.classes))
+        self.good, self.idle_after = True, settings.idle or 30.0
+        self.hint: float | None = None
+        self.drain_at: float | None = None
+        self.stop_at = float("inf")
+        self.events, self.busy = deque[i.Event](), False
+        self.counts = Counter[tuple[str, str, str]]()  # by tenant, class and verdict
+        self.actions: dict[type, Callable[..., None]] = {
+            i.Run: self._run, i.Stop: self._stop, i.TurnAway: self._turn_away, i.Fail: self._fail,
+            i.Call: self._call, i.SkipCall: self._skip, i.Keep: self._keep, i.Release: self._release,
+            i.Share: self._share, i.Health: self._health, i.Advise: self._advise,
+            i.IdleClose: self._idle_close, i.Wake: self._wake, i.Note: self._note}
+
+    # ---- time ---------------------------------------------------------------------------------
+
+    def tick(self) -> None:
+        """Run the timers that are due."""
+        self._read_clock()
+        self.timers.run(self.now)
+
+    def next_due(self) -> float | None:
+        return self.timers.next_due()
+
+    def _read_clock(self) -> float:
+        self.now = max(self.now, self.clock())  # the Unix clock may be set back; the module's time may not
+        return self.now
+
+    # ---- from the fronts ----------------------------------------------------------------------
+
+    @property
+    def healthy(self) -> bool:
+        return self.controller is not None and self.good
+
+    def arrive(self, ask: Ask, reply: Reply) -> int:
+        """Take a request; ``reply`` is called with its answer, at once or later.  Returns its number."""
+        now = self._read_clock()
+        k = self.klass.get(ask.klass)
+        if k is None:
+            raise Unacceptable("no such class")
+        tenant = self.tenant.get(ask.account)
+        if tenant is None and self.tenant:
+            raise Unacceptable("no such account")
+        if ask.ident in self.by_ident:
+            raise Unacceptable("this id is in use")
+        spec = self.settings.classes[k]
+        key = (ask.account, ask.klass, ask.key) if spec.effect is i.Effect.KEYED and ask.key else None
+        if key is None and spec.effect is i.Effect.KEYED:
+            raise Unacceptable("this class needs a key")
+        unread = max(0.0, now - ask.received)
+        due = ask.received + (spec.deadline if ask.budget is None else ask.budget)
+        r = Request(next(self.numbers), ask, spec, max(due, now), reply)
+        entry = None if key is None else self.keys.find(key, ask.received)
+        if self.controller is None or (key is not None and entry is None and self.keys.full()):
+            self._answer(r, Answer(Verdict.REFUSED, back_off=UNSERVED_BACK_OFF))
+            return r.number
+        r.key = key
+        self.requests[r.number] = self.by_ident[ask.ident] = r
+        # The module answers in time by itself.  Should it not, the caller still gets its one answer.
+        self.timers.at(r.due + self.settings.answer_slack / 2, self._overdue, r.number)
+        patience = None if ask.budget is None else max(1e-3, due - now)
+        self._feed(i.Arrived(
+            r.number, k, ask.size_kb, ask.standing, unread, patience, tenant, ask.cost, ask.subject, False,
+            spec.effect is not i.Effect.SAFE, ask.caller, None if entry is None else entry.holder))
+        return r.number
+
+    def abandon(self, number: int) -> None:
+        """The caller has gone: nothing is owed any more."""
+        r = self.requests.get(number)
+        if r is None or r.reply is None:
+            return
+        self._read_clock()
+        r.reply = None
+        self.counts[r.ask.account, r.ask.klass, "abandoned"] += 1
+        self._feed(i.Abandoned(number))
+        self._settle(r)
+
+    def leave(self, within: float) -> None:
+        """The notice to drain: the process is stopped after ``within`` seconds."""
+        if self.drain_at is not None:
+            return
+        now = self._read_clock()
+        self.drain_at, self.stop_at = now, now + within
+        if self.announce is not None:
+            self.announce.accepting(False)
+        self.timers.at(self.stop_at - STOP_MARGIN, self._answer_all)
+        self.log("drain", within=within, open=len(self.requests))
+        if self.controller is not None:
+            self._feed(i.Leaving(within))
+
+    # ---- from the pool and the calls ----------------------------------------------------------
+
+    def pool_up(self, cold: bool, age: float) -> None:
+        """The pool took the link.  The module starts with the pool, not with the process."""
+        now = self._read_clock()
+        self.log("pool-up", cold=cold, age=age, again=self.controller is not None)
+        if self.controller is not None:
+            return
+        settings = self.settings = replace(self.settings, cold=cold)
+        self.controller = Controller(settings, self.seed)
+        started = now - max(0.0, age)
+        for action in self.controller.handle(started, i.Started()):
+            self.actions[type(action)](action)
+        if self.announce is not None:
+            self.announce.accepting(self.drain_at is None)
+        self.timers.at(now + 1.0, self._sweep_keys)
+        if self.drain_at is not None:
+            self._feed(i.Leaving(max(0.0, self.stop_at - now)))
+
+    def run_ended(self, ident: bytes, outcome: i.Outcome, took: float, result: bytes) -> None:
+        r = self.by_ident.get(ident)
+        if r is None or r.state in OFF_POOL:
+            return
+        self._read_clock()
+        if r.state is State.CALLING:
+            self._give_up_call(r)
+        if outcome is i.Outcome.OK:
+            self._answer(r, Answer(Verdict.SERVED, result))
+        elif outcome is i.Outcome.ERROR:
+            self._answer(r, Answer(Verdict.FAILED))
+        if r.stopped and r.reply is not None and self.settings.preemption is i.Preemption.PAUSE:
+            r.state = State.PAUSED  # still owed an answer, and may be taken up again
+            self._feed(i.Finished(r.number, outcome, took))
+            return
+        entry = self._entry_held_by(r)
+        if entry is not None:
+            entry.over, entry.result = True, result if outcome is i.Outcome.OK else None
+        r.state = State.HELD  # nothing of it is left in the pool
+        self._feed(i.Finished(r.number, outcome, took))
+        self._answer(r, Answer(Verdict.FAILED))  # the module has answered by now; never leave one open
+        self._settle(r)
+
+    def run_blocked(self, ident: bytes, notice: int, body: bytes) -> None:
+        r = self.by_ident.get(ident)
+        if r is None or r.state in OFF_POOL:
+            return
+        self._read_clock()
+        r.state, r.notice, r.call_body = State.BLOCKED, notice, body
+        self._feed(i.AtCall(r.number))
+
+    def run_lost(self, ident: bytes) -> None:
+        """A link broke over a spawn that must not be repeated: the run may or may not have begun."""
+        self.runs.suspend(ident)
+        self.run_ended(ident, i.Outcome.ERROR, 0.0, b"")
+
+    def gauges(self, values: tuple[float, ...]) -> None:
+        self.gauge_values = dict(zip(self.gauge_names, values))
+
+    def call_ended(self, ident: bytes, outcome: i.Outcome, reply: bytes) -> None:
+        r = self.by_ident.get(ident)
+        if r is None or r.state is not State.CALLING:
+            return
+        now = self._read_clock()
+        r.call_number += 1
+        if outcome is i.Outcome.OK:
+            r.state, r.call_body = State.RUNNING, b""
+            self.runs.supply(ident, reply)
+        else:
+            r.state = State.BLOCKED
+        self._feed(i.CallEnded(r.number, outcome, now - r.call_at))
+
+    # ---- the module ---------------------------------------------------------------------------
+
+    def _feed(self, event: i.Event) -> None:
+        """Give the module an event and carry out what it says; events that follow wait their turn."""
+        self.events.append(event)
+        if self.busy or self.controller is None:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                for action in self.controller.handle(self.now, self.events.popleft()):
+                    self.actions[type(action)](action)
+        finally:
+            self.busy = False
+
+    def _run(self, a: i.Run) -> None:
+        r = self.requests.get(a.id)
+        if r is None or r.reply is None or r.state in (State.JOINED, State.BLOCKED, State.CALLING):
+            self.events.append(i.Finished(a.id, i.Outcome.MOOT, 0.0))
+            return
+        if r.state is State.PAUSED:
+            r.state, r.stopped = State.RUNNING, False
+            self.runs.proceed(r.ask.ident)
+        elif r.state is State.HELD:
+            late = self.drain_at is not None and r.ask.received > self.drain_at + self.settings.drain_grace
+            if late or not self._claim(r):
+                self.events.append(i.Finished(a.id, i.Outcome.MOOT, 0.0))
+                return
+            r.state = State.RUNNING
+            self.runs.spawn(r.ask.ident, r.ask.klass, r.ask.body, r.spec.effect is not i.Effect.SAFE)
+
+    def _claim(self, r: Request) -> bool:
+        """The entry of a keyed request stands before its run starts, for the whole window."""
+        if r.key is None:
+            return True
+        entry = self.keys.find(r.key, r.ask.received)
+        if entry is not None and entry.holder != r.number:
+            return False
+        entry = self.keys.keep(r.key, r.number, r.ask.received + r.spec.window + self.settings.answer_slack)
+        entry.ran = True
+        return True
+
+    def _stop(self, a: i.Stop) -> None:
+        r = self.requests.get(a.id)
+        if r is not None and r.state is State.RUNNING and not r.stopped:
+            r.stopped = True
+            self.runs.suspend(r.ask.ident)
+            if r.reply is None:
+                self.timers.at(self.now + LOST_GRACE, self._write_off, r.number)
+
+    def _turn_away(self, a: i.TurnAway) -> None:
+        r = self.requests.get(a.id)
+        if r is None or r.reply is None:
+            return
+        if r.state is State.HELD:
+            self._answer(r, Answer(Verdict.REFUSED, back_off=a.stay_away, final=a.nowhere_else))
+        else:  # what has run, or shares a run, is never refused
+            self._answer(r, Answer(Verdict.FAILED))
+        self._settle(r)
+
+    def _fail(self, a: i.Fail) -> None:
+        r = self.requests.get(a.id)
+        if r is not None and r.reply is not None:
+            self._answer(r, Answer(Verdict.FAILED))
+            self._settle(r)
+
+    def _call(self, a: i.Call) -> None:
+        r = self.requests.get(a.id)
+        if r is None or r.state is not State.BLOCKED:
+            return
+        r.state, r.call_at = State.CALLING, self.now
+        r.call_number += 1
+        self.timers.at(self.now + a.limit + CALL_SLACK, self._call_overdue, r.number, r.call_number)
+        if self.calls is None:
+            r.state = State.BLOCKED
+            self.events.append(i.CallEnded(a.id, i.Outcome.UNREACHABLE, 0.0))
+        else:
+            self.calls.call(r.ask.ident, a.limit, r.call_body)
+
+    def _skip(self, a: i.SkipCall) -> None:
+        r = self.requests.get(a.id)
+        if r is not None and r.state is State.BLOCKED and r.spec.skip_worth > 0:
+            r.state, r.call_body = State.RUNNING, b""
+            self.runs.skip(r.ask.ident, r.notice)
+
+    def _keep(self, a: i.Keep) -> None:
+        r = self.requests.get(a.id)
+        if r is not None and r.key is not None:
+            self.keys.keep(r.key, r.number, self.now + a.span)
+
+    def _release(self, a: i.Release) -> None:
+        entry = self.keys.release(a.id)
+        if entry is not None:
+            self._fail_joined(entry)
+
+    def _share(self, a: i.Share) -> None:
+        r = self.requests.get(a.id)
+        if r is None or r.reply is None:
+            return
+        r.state = State.JOINED
+        entry = None if r.key is None else self.keys.find(r.key, r.ask.received)
+        if entry is None or (entry.over and entry.result is None):
+            self._end_joined(r, None)
+        elif entry.over:
+            self._end_joined(r, entry.result)
+        else:
+            entry.joined.append(r.number)
+
+    def _health(self, a: i.Health) -> None:
+        self.good = a.good
+
+    def _advise(self, a: i.Advise) -> None:
+        self.hint = a.value
+
+    def _idle_close(self, a: i.IdleClose) -> None:
+        self.idle_after = a.after or self.settings.idle
+
+    def _wake(self, a: i.Wake) -> None:
+        self.timers.at(a.at, self._ring, a.token)
+
+    def _note(self, a: i.Note) -> None:
+        self.log("module", text=a.text)
+
+    # ---- timers -------------------------------------------------------------------------------
+
+    def _ring(self, token: int) -> None:
+        """The gauges are those last polled: a timer never waits for the pool."""
+        self._feed(i.Woken(token, **self.gauge_values))
+        self.runs.poll()
+
+    def _overdue(self, number: int) -> None:
+        r = self.requests.get(number)
+        if r is not None and r.reply is not None:
+            self.log("overdue", id=r.ask.ident.decode(), state=r.state.value)
+            self._answer(r, Answer(Verdict.FAILED))
+            self._settle(r)
+
+    def _call_overdue(self, number: int, call_number: int) -> None:
+        r = self.requests.get(number)
+        if r is not None and r.state is State.CALLING and r.call_number == call_number:
+            self._give_up_call(r)
+            self.call_ended(r.ask.ident, i.Outcome.TIMEOUT, b"")
+
+    def _write_off(self, number: int) -> None:
+        """A run that was told to stop is not heard of: it must not hold a slot for ever."""
+        r = self.requests.get(number)
+        if r is not None and r.stopped and r.state is State.RUNNING:
+            self.log("written-off", id=r.ask.ident.decode())
+            self.run_ended(r.ask.ident, i.Outcome.CANCELLED, 0.0, b"")
+
+    def _answer_all(self) -> None:
+        for r in list(self.requests.values()):
+            self._answer(r, Answer(Verdict.FAILED))
+            self._settle(r)
+
+    def _sweep_keys(self) -> None:
+        self.keys.sweep(self.now, self.requests.__contains__)
+        self.timers.at(self.now + 1.0, self._sweep_keys)
+
+    # ---- bookkeeping --------------------------------------------------------------------------
+
+    def _answer(self, r: Request, answer: Answer) -> None:
+        """The one place where a final answer is given."""
+        reply, r.reply = r.reply, None
+        if reply is not None:
+            answer.hint = self.hint
+            self.counts[r.ask.account, r.ask.klass, answer.verdict.value] += 1
+            reply(answer)
+
+    def _entry_held_by(self, r: Request) -> Entry | None:
+        return self.keys.by_holder.get(r.number) if r.key is not None else None
+
+    def _give_up_call(self, r: Request) -> None:
+        if self.calls is not None:
+            self.calls.give_up(r.ask.ident)
+
+    def _settle(self, r: Request) -> None:
+        """Forget a request that is owed nothing and has nothing in the pool; the one place that does."""
+        if r.reply is not None or self.requests.get(r.number) is not r:
+            return
+        if r.state is State.CALLING:
+            self._give_up_call(r)  # the pool ends the run by itself
+            r.state = State.BLOCKED
+        if r.state not in (State.HELD, State.JOINED, State.PAUSED):
+            return
+        del self.requests[r.number]
+        del self.by_ident[r.ask.ident]
+        entry = self._entry_held_by(r)
+        if entry is not None:
+            if not entry.ran:
+                self.keys.release(r.number)
+            entry.over = True
+            self._fail_joined(entry) if entry.result is None else self._serve_joined(entry)
+
+    def _serve_joined(self, entry: Entry) -> None:
+        joined, entry.joined = entry.joined, []
+        for number in joined:
+            r = self.requests.get(number)
+            if r is not None:
+                self._end_joined(r, entry.result)
+
+    def _fail_joined(self, entry: Entry) -> None:
+        entry.result = None
+        self._serve_joined(entry)
+
+    def _end_joined(self, r: Request, result: bytes | None) -> None:
+        served = result is not None
+        self._answer(r, Answer(Verdict.SERVED, result) if result is not None else Answer(Verdict.FAILED))
+        self._feed(i.Finished(r.number, i.Outcome.OK if served else i.Outcome.ERROR, 0.0))
+        self._settle(r)
--- /dev/null
+++ b/saltcart/core/timers.py
@@ -0,0 +1,32 @@
+"""Timers by the core's own clock; a driver asks when the next one is due."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+
+class Timers:
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.order = itertools.count()
+        self.earlier: Callable[[], None] | None = None  # told when the next one due has moved forward
+
+    def at(self, when: float, call: Callable[..., None], *args: Any) -> None:
+        entry = (when, next(self.order), call, args)
+        heapq.heappush(self.heap, entry)
+        if self.earlier is not None and self.heap[0] is entry:
+            self.earlier()
+
+    def next_due(self) -> float | None:
+        return self.heap[0][0] if self.heap else None
+
+    def run(self, now: float) -> None:
+        """Call what is due; what that arms anew waits for the next turn, even if it is due already."""
+        due = []
+        while self.heap and self.heap[0][0] <= now:
+            due.append(heapq.heappop(self.heap))
+        for _, _, call, args in due:
+            call(*args)
--- /dev/null
+++ b/saltcart/net/announcer.py
@@ -0,0 +1,89 @@
+"""Reports to the announce service, well inside the time after which an entry lapses."""
+
+from __future__ import annotations
+
+import asyncio
+
+import orjson
+
+from saltcart.core.ports import Log
+from saltcart.net.base import Connection, address
+from saltcart.wire import http1
+
+EVERY, WAIT, RETRY = 0.9, 0.7, 0.2
+
+
+class ReportConnection(Connection):
+    def __init__(self) -> None:
+        super().__init__()
+        self.parser = http1.ResponseParser(65536)
+        self.answer: asyncio.Future[http1.Response] = asyncio.get_running_loop().create_future()
+
+    def received(self) -> None:
+        try:
+            response = self.parser.next(self.buffer)
+        except http1.Malformed:
+            self.close()
+            return
+        if response is not None and not self.answer.done():
+            self.answer.set_result(response)
+
+    def closed(self) -> None:
+        if not self.answer.done():
+            self.answer.set_exception(ConnectionResetError("announce service closed the connection"))
+            self.answer.exception()  # seen: nobody may be waiting
+
+
+class Announcer:
+    """The announce port: keeps the entry alive once the service takes requests."""
+
+    def __init__(self, peer: str, name: str, log: Log) -> None:
+        self.peer, self.name, self.log = peer, name, log
+        self.state: bool | None = None
+        self.changed = asyncio.Event()
+        self.failing = False
+
+    def accepting(self, on: bool) -> None:
+        self.state = on
+        self.changed.set()
+
+    async def run(self) -> None:
+        connection: ReportConnection | None = None
+        await self.changed.wait()
+        while True:
+            self.changed.clear()
+            pause = EVERY
+            try:
+                async with asyncio.timeout(WAIT):
+                    connection = await self._report(connection)
+                if self.failing:
+                    self.failing = False
+                    self.log("announce-back")
+            except (OSError, TimeoutError) as error:
+                if not self.failing:
+                    self.failing = True
+                    self.log("announce-lost", error=str(error))
+                pause = RETRY
+                if connection is not None:
+                    connection.close()
+                connection = None
+            try:
+                async with asyncio.timeout(pause):
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+
+    async def _report(self, connection: ReportConnection | None) -> ReportConnection | None:
+        loop = asyncio.get_running_loop()
+        if connection is None or connection.transport is None:
+            _, connection = await loop.create_connection(ReportConnection, *address(self.peer))
+        connection.answer = loop.create_future()
+        body = orjson.dumps({"accepting": "true" if self.state else "false"})
+        connection.send(http1.request("PUT", f"/announce/{self.name}", self.peer, body))
+        response = await connection.answer
+        if response.status != 204:
+            raise ConnectionError(f"status {response.status}")
+        if not response.keep_alive:
+            connection.close()
+            return None
+        return connection
--- /dev/null
+++ b/saltcart/net/base.py
@@ -0,0 +1,92 @@
+"""What all connections share: one buffer, one transport, one place where each is given back."""
+
+from __future__ import annotations
+
+import asyncio
+
+from saltcart.core.ports import Log
+from saltcart.wire.buffer import Buffer
+
+
+class Connection(asyncio.BufferedProtocol):
+    """A link that feeds its buffer to ``received`` and tells ``closed`` once when it ends."""
+
+    transport: asyncio.Transport | None = None
+
+    def __init__(self, limit: int = 65536) -> None:
+        self.buffer = Buffer(limit=limit)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.opened()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.space()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.commit(nbytes)
+        self.received()
+
+    def eof_received(self) -> bool:
+        return False  # both directions end together
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.closed()
+
+    def send(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+    def opened(self) -> None:
+        """The connection stands."""
+
+    def received(self) -> None:
+        """New bytes are in the buffer."""
+
+    def closed(self) -> None:
+        """The connection has ended, whoever ended it."""
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class Link:
+    """Keeps one connection to a peer open: waits a little longer after each failure."""
+
+    FIRST_WAIT, LONGEST_WAIT = 0.02, 0.5
+
+    def __init__(self, name: str, peer: str, log: Log) -> None:
+        self.name, self.peer, self.log = name, address(peer), log
+        self.connection: Connection | None = None
+        self.ended = asyncio.Event()
+
+    def make(self) -> Connection:
+        raise NotImplementedError
+
+    async def run(self) -> None:
+        wait = self.FIRST_WAIT
+        loop = asyncio.get_running_loop()
+        while True:
+            self.ended.clear()
+            try:
+                async with asyncio.timeout(2.0):
+                    _, self.connection = await loop.create_connection(self.make, *self.peer)
+            except (OSError, TimeoutError) as error:
+                if wait == self.FIRST_WAIT:
+                    self.log("link-refused", link=self.name, error=str(error))
+                await asyncio.sleep(wait)
+                wait = min(self.LONGEST_WAIT, 2 * wait)
+                continue
+            wait = self.FIRST_WAIT
+            await self.ended.wait()
+            self.connection = None
+            self.log("link-lost", link=self.name)
+            await asyncio.sleep(self.FIRST_WAIT)
--- /dev/null
+++ b/saltcart/net/listener.py
@@ -0,0 +1,67 @@
+"""A listening socket and its connections: idle ones are closed, busy ones never."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from saltcart.net.base import Connection, address
+
+
+class ServerConnection(Connection):
+    """An accepted connection, known to its listener."""
+
+    def __init__(self, listener: Listener, limit: int = 16384) -> None:
+        super().__init__(limit)
+        self.listener = listener
+        self.used = 0.0
+
+    def opened(self) -> None:
+        self.touch()
+        self.listener.connections.add(self)
+        self.listener.make_room()
+
+    def touch(self) -> None:
+        self.used = self.listener.loop.time()
+
+    def closed(self) -> None:
+        self.listener.connections.discard(self)
+
+    def busy(self) -> bool:
+        """Whether a request is open, or partly here, on this connection."""
+        return len(self.buffer) > 0
+
+
+class Listener:
+    """Owns the socket; never closed while the service may still be sent requests."""
+
+    SWEEP = 0.25
+
+    def __init__(self, listen: str, make: Callable[[Listener], ServerConnection],
+                 idle_after: Callable[[], float], most: int) -> None:
+        self.listen, self.make, self.idle_after, self.most = address(listen), make, idle_after, most
+        self.loop = asyncio.get_running_loop()
+        self.connections: set[ServerConnection] = set()
+        self.server: asyncio.Server | None = None
+
+    async def open(self) -> str:
+        host, port = self.listen
+        self.server = await self.loop.create_server(
+            lambda: self.make(self), host, port, backlog=1024, reuse_address=True)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.loop.call_later(self.SWEEP, self._sweep)
+        return f"{host}:{port}"
+
+    def make_room(self) -> None:
+        """Near the descriptor limit the connection that was idle longest makes way."""
+        if len(self.connections) > self.most:
+            idle = [c for c in self.connections if not c.busy()]
+            with contextlib.suppress(ValueError):
+                min(idle, key=lambda c: c.used).close()
+
+    def _sweep(self) -> None:
+        oldest = self.loop.time() - max(self.SWEEP, self.idle_after())
+        for connection in [c for c in self.connections if c.used < oldest and not c.busy()]:
+            connection.close()
+        self.loop.call_later(self.SWEEP, self._sweep)
--- /dev/null
+++ b/saltcart/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol state machines: fed bytes, yielding messages; they know no socket."""
--- /dev/null
+++ b/saltcart/wire/pool.py
@@ -0,0 +1,218 @@
+"""The worker pool's link: lines of words, some followed by a counted body.
+
+``Session`` outlives the links it runs over: it knows the last notice read, drops what comes twice, and sends
+again what a lost link may have swallowed, as far as that can't start anything a second time.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from saltcart.wire.buffer import Buffer
+
+MAX_LINE, MAX_BODY = 1024, 16384
+
+
+class Malformed(Exception):
+    """The link is out of step and must be closed."""
+
+
+class Bound(NamedTuple):
+    """The pool is up."""
+
+    loaded: bool
+    age: float
+
+
+class Finished(NamedTuple):
+    ident: bytes
+    end: bytes
+    took: float
+    result: bytes
+
+
+class Blocked(NamedTuple):
+    ident: bytes
+    notice: int
+    body: bytes
+
+
+class Polled(NamedTuple):
+    gauges: tuple[float, ...]
+
+
+class Unknown(NamedTuple):
+    command: bytes
+    ident: bytes
+
+
+class Lost(NamedTuple):
+    """Whether this run was ever started can't be told any more."""
+
+    ident: bytes
+
+
+Message = Bound | Finished | Blocked | Polled | Unknown | Lost
+
+
+@dataclass(slots=True)
+class Command:
+    """A command that no later answer has shown to have arrived."""
+
+    mark: int  # number of the last poll before it
+    verb: bytes
+    ident: bytes
+    notice: int  # of the call that the command is about, or 0
+    once: bool  # never written twice: a lost link proves nothing
+    written: bool
+    data: bytes
+
+
+class Session:
+    """The service's half of the protocol."""
+
+    def __init__(self) -> None:
+        self.last = 0  # number of the last notice that was read
+        self.up = False  # the present link is bound and its replay has been read
+        self.mark = 0  # polls sent so far
+        self.pending: deque[Command] = deque()
+        self.calls: dict[bytes, int] = {}  # notice of the call that each run waits for
+        self.line: list[bytes] | None = None
+        self.length = 0
+        self.barrier = 0
+
+    # ---- sending ------------------------------------------------------------------------------
+
+    def connected(self) -> bytes:
+        """The link is new: what to send first."""
+        self.up, self.line, self.barrier = False, None, 0
+        return b"bind %d\r\n" % self.last
+
+    def lost(self) -> None:
+        self.up = False
+
+    def _command(self, verb: bytes, ident: bytes, data: bytes, once: bool = False, notice: int = 0) -> bytes:
+        self.pending.append(Command(self.mark, verb, ident, notice, once, self.up, data))
+        return data if self.up else b""
+
+    def spawn(self, ident: bytes, klass: bytes, body: bytes, once: bool) -> bytes:
+        data = b"spawn %b %b %d\r\n%b\r\n" % (ident, klass, len(body), body)
+        return self._command(b"spawn", ident, data, once)
+
+    def suspend(self, ident: bytes) -> bytes:
+        return self._command(b"suspend", ident, b"suspend %b\r\n" % ident)
+
+    def proceed(self, ident: bytes) -> bytes:
+        return self._command(b"proceed", ident, b"proceed %b\r\n" % ident)
+
+    def supply(self, ident: bytes, reply: bytes) -> bytes:
+        data = b"supply %b %d\r\n%b\r\n" % (ident, len(reply), reply)
+        return self._command(b"supply", ident, data, notice=self.calls.pop(ident, 0))
+
+    def skip(self, ident: bytes, notice: int) -> bytes:
+        self.calls.pop(ident, None)
+        return self._command(b"pass", ident, b"pass %b %d\r\n" % (ident, notice), notice=notice)
+
+    def poll(self) -> bytes:
+        """Ask for the gauges; the answer also shows that all commands before it arrived."""
+        if not self.up:
+            return b""
+        self.mark += 1
+        return b"poll %d\r\n" % self.mark
+
+    # ---- receiving ----------------------------------------------------------------------------
+
+    def messages(self, buffer: Buffer) -> Iterator[Message | bytes]:
+        """What has come in whole; a ``bytes`` item is to be sent at once."""
+        while True:
+            if self.line is None:
+                try:
+                    text = buffer.line(MAX_LINE)
+                except ValueError as error:
+                    raise Malformed(str(error)) from None
+                if text is None:
+                    return
+                words = text.split(b" ")
+                self.length = -1
+                if words[0] in (b"finished", b"blocked"):
+                    self.length = self._number(words, 5 if words[0] == b"finished" else 3)
+                    if self.length > MAX_BODY:
+                        raise Malformed("body too long")
+                self.line = words
+            body = b""
+            if self.length >= 0:
+                if len(buffer) < self.length + 2:
+                    return
+                body = buffer.take(self.length)
+                if buffer.take(2) != b"\r\n":
+                    raise Malformed("body without its end")
+            words, self.line = self.line, None
+            yield from self._message(words, body)
+
+    @staticmethod
+    def _number(words: list[bytes], at: int) -> int:
+        if len(words) <= at or not words[at].isdigit() or len(words[at]) > 18:
+            raise Malformed(f"{words[0][:20]!r}: field {at} is not a number")
+        return int(words[at])
+
+    @staticmethod
+    def _real(words: list[bytes], at: int) -> float:
+        try:
+            return float(words[at])
+        except (IndexError, ValueError):
+            raise Malformed(f"{words[0][:20]!r}: field {at} is not a number") from None
+
+    def _message(self, words: list[bytes], body: bytes) -> Iterator[Message | bytes]:
+        verb = words[0]
+        if verb in (b"finished", b"blocked"):
+            number, ident = self._number(words, 1), words[2]
+            if number <= self.last:  # applied already: the replay of a new link overlaps what was read
+                return
+            self.last = number
+            if verb == b"blocked":
+                self.calls[ident] = number
+                yield Blocked(ident, number, body)
+            else:
+                self.calls.pop(ident, None)
+                yield Finished(ident, words[3], self._real(words, 4) / 1000, body)
+        elif verb == b"polled":
+            tag = self._number(words, 1)
+            while self.pending and self.pending[0].mark < tag:
+                if not self.up and self.barrier == tag:
+                    break
+                self.pending.popleft()
+            if not self.up and tag == self.barrier:
+                # All notices that the old link missed have been read by now.
+                self.up = True
+                yield from self._again()
+            yield Polled(tuple(self._real(words, n) for n in range(2, len(words))))
+        elif verb == b"bound":
+            if len(words) < 2 or words[1] not in (b"EMPTY", b"LOADED"):
+                raise Malformed("bound: no such state")
+            self.mark += 1
+            self.barrier = self.mark
+            yield Bound(words[1] == b"LOADED", self._real(words, 2) / 1000)
+            yield b"poll %d\r\n" % self.mark
+        elif verb == b"unknown":
+            if len(words) < 3:
+                raise Malformed("unknown: field missing")
+            yield Unknown(words[1], words[2])
+        elif verb == b"chatter":
+            if len(words) > 1 and words[1].isdigit():
+                self.last = max(self.last, int(words[1]))
+        else:
+            raise Malformed(f"{verb[:20]!r}: no such message")
+
+    def _again(self) -> Iterator[Message | bytes]:
+        """The commands that the old link may have swallowed; a run that must not start twice is given up."""
+        commands, self.pending = self.pending, deque()
+        for command in commands:
+            if command.once and command.written:
+                yield Lost(command.ident)
+            elif not command.notice or self.calls.get(command.ident, command.notice) == command.notice:
+                command.mark, command.written = self.mark, True  # else the run is at its next call already
+                self.pending.append(command)
+                yield command.data
