--- /dev/null
+++ b/saltcart/front/ajp.py
@@ -0,0 +1,36 @@
+"""The second front: AJP/1.3, for callers behind gateways that speak nothing else."""
+
+from __future__ import annotations
+
+from saltcart.core.service import Service
+from saltcart.front.connection import Fields, FrontConnection
+from saltcart.front.fields import MAX_BODY
+from saltcart.net.listener import Listener
+from saltcart.wire import ajp, http1
+
+
+class AjpConnection(FrontConnection):
+    def __init__(self, listener: Listener, service: Service, secret: bytes = b"") -> None:
+        super().__init__(listener, service)
+        self.parser = ajp.RequestParser(MAX_BODY, secret)
+
+    def busy(self) -> bool:
+        return self.parser.request is not None or super().busy()
+
+    def step(self) -> bool:
+        message = self.parser.next(self.buffer)
+        match message:
+            case None:
+                return False
+            case ajp.Ping():
+                self.send(ajp.CPONG_PACKET)
+            case ajp.MoreBody(data):
+                self.send(data)
+            case ajp.ForwardRequest():
+                self.dispatch(message.method, message.uri, message.headers, message.body)
+        return True
+
+    def write(self, status: int, body: bytes = b"", fields: Fields = ()) -> None:
+        self.send(ajp.response(
+            status, http1.REASONS.get(status, b"Unknown"),
+            [(name.encode(), value.encode()) for name, value in fields], body, self.keep_alive))
--- /dev/null
+++ b/saltcart/net/ajp.py
@@ -0,0 +1,204 @@
+"""Work done by AJP servers: the runs port off the platform, in the place of the worker pool.
+
+A run is one forward request to one member.  What proves that it never ran (a refused connection, a 429 or a
+503) lets it go to the next member; a connection that drops once bytes were sent proves nothing, so work that
+must run only once fails then, and work that is safe to repeat is tried once more.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from saltcart.core.ports import Log, RunEvents
+from saltcart.interface import Outcome
+from saltcart.net.base import Connection, address
+from saltcart.wire import ajp
+from saltcart.wire.errors import Malformed
+
+CONNECT_WAIT, PING_WAIT = 1.0, 0.5
+MAX_RESULT = 4096
+REFUSED = (429, 503)
+REST = 2.0  # a member that refused a connection is left alone this long, if others are there
+
+
+class NeverRan(Exception):
+    """The member proved that it did not run the request."""
+
+
+@dataclass(slots=True, eq=False)
+class Member:
+    """One AJP server of the upstream."""
+
+    host: str
+    weight: float = 1.0
+    secret: bytes = b""
+    idle: list[MemberConnection] = field(default_factory=list)
+    open: int = 0
+    rests_until: float = 0.0
+
+
+class MemberConnection(Connection):
+    """One connection to a member; carries one request at a time."""
+
+    def __init__(self, member: Member) -> None:
+        super().__init__()
+        self.member, self.parser = member, ajp.ResponseParser(MAX_RESULT)
+        self.answer: asyncio.Future[ajp.Response | ajp.Pong] | None = None
+        self.body = b""  # what the member has not asked for yet
+
+    def received(self) -> None:
+        try:
+            while (message := self.parser.next(self.buffer)) is not None:
+                if isinstance(message, ajp.WantBody):
+                    part, self.body = self.body[:message.size], self.body[message.size:]
+                    self.send(ajp.body_packet(part))
+                elif self.answer is not None and not self.answer.done():
+                    self.answer.set_result(message)
+                else:
+                    raise Malformed("an answer to nothing")
+        except Malformed:
+            self.close()
+
+    def closed(self) -> None:
+        if self in self.member.idle:
+            self.member.idle.remove(self)
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(ConnectionResetError("the member closed the connection"))
+
+    async def ask(self, data: bytes, wait: float) -> ajp.Response | ajp.Pong:
+        if self.transport is None:
+            raise ConnectionResetError("the member closed the connection")
+        self.answer = asyncio.get_running_loop().create_future()
+        self.send(data)
+        async with asyncio.timeout(wait):
+            return await self.answer
+
+
+class AjpUpstream:
+    """The runs port: sends each run to the member that has the least to do for its weight."""
+
+    def __init__(self, members: list[Member], events: RunEvents, log: Log, slots: int) -> None:
+        self.members, self.events, self.log, self.slots = members, events, log, slots
+        self.tasks: dict[bytes, asyncio.Task[None]] = {}
+
+    def start(self) -> None:
+        self.events.pool_up(False, 0.0)
+
+    # ---- the port -----------------------------------------------------------------------------
+
+    def spawn(self, ident: bytes, klass: str, body: bytes, once: bool, within: float) -> None:
+        if ident not in self.tasks:
+            task = asyncio.get_running_loop().create_task(self._run(ident, klass, body, once, within))
+            self.tasks[ident] = task
+            task.add_done_callback(lambda _: self.tasks.pop(ident, None))
+
+    def suspend(self, ident: bytes) -> None:
+        """AJP has no pause: the run is given up and its connection closed."""
+        if (task := self.tasks.get(ident)) is not None:
+            task.cancel()
+
+    def proceed(self, ident: bytes) -> None:
+        """Nothing is ever paused."""
+
+    def supply(self, ident: bytes, reply: bytes) -> None:
+        """Nothing waits for a call."""
+
+    def skip(self, ident: bytes, notice: int) -> None:
+        """Nothing waits for a call."""
+
+    def poll(self) -> None:
+        busy = len(self.tasks)
+        self.events.gauges((min(1.0, busy / self.slots), float(busy)))
+
+    # ---- one run ------------------------------------------------------------------------------
+
+    async def _run(self, ident: bytes, klass: str, body: bytes, once: bool, within: float) -> None:
+        loop = asyncio.get_running_loop()
+        begun, outcome, result = loop.time(), Outcome.ERROR, b""
+        try:
+            async with asyncio.timeout(max(0.0, within)):
+                outcome, result = await self._try_members(ident, klass, body, once, begun + within)
+        except TimeoutError:
+            pass  # its caller's time is over; the run may have had its effect
+        except asyncio.CancelledError:
+            outcome = Outcome.CANCELLED
+        self.tasks.pop(ident, None)
+        self.events.run_ended(ident, outcome, loop.time() - begun, result)
+
+    async def _try_members(self, ident: bytes, klass: str, body: bytes, once: bool,
+                           until: float) -> tuple[Outcome, bytes]:
+        tried, repeats = set[Member](), 0 if once else 1
+        while (member := self._choose(tried)) is not None:
+            tried.add(member)
+            try:
+                response = await self._forward(member, ident, klass, body, once, until)
+            except NeverRan:
+                continue
+            except OSError as error:
+                self.log("member-lost", member=member.host, id=ident.decode(), error=str(error))
+                if not repeats:
+                    return Outcome.ERROR, b""
+                repeats -= 1
+                tried.discard(member)
+                continue
+            if response.status in REFUSED:
+                continue
+            return (Outcome.OK, response.body) if response.status == 200 else (Outcome.ERROR, b"")
+        return Outcome.MOOT, b""  # every member proved that it never ran
+
+    def _choose(self, tried: set[Member]) -> Member | None:
+        now = asyncio.get_running_loop().time()
+        fresh = [m for m in self.members if m not in tried]
+        able = [m for m in fresh if m.rests_until <= now] or fresh
+        return min(able, key=lambda m: (m.open + 1) / m.weight, default=None)
+
+    async def _forward(self, member: Member, ident: bytes, klass: str, body: bytes, once: bool,
+                       until: float) -> ajp.Response:
+        member.open += 1
+        connection: MemberConnection | None = None
+        try:
+            connection = await self._connection(member, once)
+            host, port = address(member.host)
+            left = until - asyncio.get_running_loop().time()
+            headers = [(b"Request-Id", ident), (b"Budget-Ms", b"%d" % max(1, left * 1000)),
+                       (b"Content-Length", b"%d" % len(body))]
+            data = ajp.forward_request(b"POST", b"/call/" + klass.encode(), headers, host.encode(), port,
+                                       member.secret)
+            connection.body = body[ajp.MAX_DATA:]
+            answer = await connection.ask(
+                data + (ajp.body_packet(body[:ajp.MAX_DATA]) if body else b""), max(0.0, left))
+            if not isinstance(answer, ajp.Response):
+                raise ConnectionResetError("a pong in the place of an answer")
+            if answer.reuse and not connection.body and connection.transport is not None:
+                member.idle.append(connection)
+                connection = None
+            return answer
+        finally:
+            member.open -= 1
+            if connection is not None:
+                connection.close()
+
+    async def _connection(self, member: Member, once: bool) -> MemberConnection:
+        """A connection that stands: an idle one, pinged where a close must not cross, or a new one."""
+        while member.idle:
+            connection = member.idle.pop()
+            try:
+                if not once or isinstance(await connection.ask(ajp.CPING_PACKET, PING_WAIT), ajp.Pong):
+                    return connection
+            except (OSError, TimeoutError):
+                pass
+            except asyncio.CancelledError:
+                connection.close()
+                raise
+            connection.close()
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_WAIT):
+                _, made = await loop.create_connection(
+                    lambda: MemberConnection(member), *address(member.host))
+        except (OSError, TimeoutError) as error:
+            member.rests_until = loop.time() + REST
+            self.log("member-refused", member=member.host, error=str(error))
+            raise NeverRan from None  # no byte of the request was sent
+        return made
--- a/saltcart/net/announcer.py
+++ b/saltcart/net/announcer.py
@@ -9,6 +9,7 @@
 from saltcart.core.ports import Log
 from saltcart.net.base import Connection, address
 from saltcart.wire import http1
+from saltcart.wire.errors import Malformed
 
 EVERY, WAIT, RETRY = 0.9, 0.7, 0.2
 
@@ -22,7 +23,7 @@
     def received(self) -> None:
         try:
             response = self.parser.next(self.buffer)
-        except http1.Malformed:
+        except Malformed:
             self.close()
             return
         if response is not None and not self.answer.done():
--- a/saltcart/net/index.py
+++ b/saltcart/net/index.py
@@ -8,6 +8,7 @@
 from saltcart.interface import Outcome
 from saltcart.net.base import Connection, address
 from saltcart.wire import index as wire
+from saltcart.wire.errors import Malformed
 
 # Only SHED and NOBODY prove that the call never ran.
 ENDS = {
@@ -29,7 +30,7 @@
                 if reply.ident in self.open:
                     self.open.discard(reply.ident)
                     self.client.events.call_ended(reply.ident, ENDS[reply.end], reply.body)
-        except wire.Malformed as error:
+        except Malformed as error:
             self.client.log("index-malformed", error=str(error))
             self.close()
 
--- a/saltcart/net/pool.py
+++ b/saltcart/net/pool.py
@@ -6,6 +6,7 @@
 from saltcart.interface import Outcome
 from saltcart.net.base import Connection, Link
 from saltcart.wire import pool as wire
+from saltcart.wire.errors import Malformed
 
 ENDS = {b"PASS": Outcome.OK, b"FAIL": Outcome.ERROR, b"KILLED": Outcome.CANCELLED, b"NOOP": Outcome.MOOT}
 
@@ -25,7 +26,7 @@
                     self.send(message)
                 else:
                     self.link.apply(message)
-        except wire.Malformed as error:
+        except Malformed as error:
             self.link.log("pool-malformed", error=str(error))
             self.link.session.lost()
             self.close()
@@ -64,7 +65,7 @@
         if data and self.connection is not None:
             self.connection.send(data)
 
-    def spawn(self, ident: bytes, klass: str, body: bytes, once: bool) -> None:
+    def spawn(self, ident: bytes, klass: str, body: bytes, once: bool, within: float) -> None:
         self._send(self.session.spawn(ident, klass.encode(), body, once))
 
     def suspend(self, ident: bytes) -> None:
--- a/saltcart/wire/http1.py
+++ b/saltcart/wire/http1.py
@@ -6,27 +6,21 @@
 from dataclasses import dataclass
 
 from saltcart.wire.buffer import Buffer
+from saltcart.wire.errors import Malformed
 
 MAX_HEAD, MAX_HEADERS = 8192, 64
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 STATUS = re.compile(rb"[1-5][0-9][0-9]\Z")
 DIGITS = re.compile(rb"[0-9]{1,9}\Z")
 REASONS = {
-    200: b"OK", 204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized", 404: b"Not Found",
-    405: b"Method Not Allowed", 409: b"Conflict", 411: b"Length Required", 413: b"Content Too Large",
-    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 501: b"Not Implemented",
-    503: b"Service Unavailable", 505: b"HTTP Version Not Supported",
+    200: b"OK", 201: b"Created", 204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized",
+    403: b"Forbidden", 404: b"Not Found", 405: b"Method Not Allowed", 409: b"Conflict",
+    411: b"Length Required", 413: b"Content Too Large", 415: b"Unsupported Media Type",
+    422: b"Unprocessable Content", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
+    501: b"Not Implemented", 503: b"Service Unavailable", 505: b"HTTP Version Not Supported",
 }
 
 
-class Malformed(Exception):
-    """What came is not a message of the protocol; ``status`` is the answer it gets."""
-
-    def __init__(self, text: str, status: int = 400) -> None:
-        super().__init__(text)
-        self.status = status
-
-
 @dataclass(slots=True)
 class Request:
     """One whole request; header names are in lower case."""
--- a/saltcart/wire/index.py
+++ b/saltcart/wire/index.py
@@ -6,15 +6,12 @@
 from typing import NamedTuple
 
 from saltcart.wire.buffer import Buffer
+from saltcart.wire.errors import Malformed
 
 MAX_LINE, MAX_BODY = 1024, 16384
 ENDS = (b"HIT", b"SHED", b"BROKEN", b"SLOW", b"NOBODY")
 
 
-class Malformed(Exception):
-    """The connection is out of step and must be closed."""
-
-
 class Reply(NamedTuple):
     """How one call ended; the body comes with ``HIT`` alone."""
 
--- a/saltcart/wire/pool.py
+++ b/saltcart/wire/pool.py
@@ -12,14 +12,11 @@
 from typing import NamedTuple
 
 from saltcart.wire.buffer import Buffer
+from saltcart.wire.errors import Malformed
 
 MAX_LINE, MAX_BODY = 1024, 16384
 
 
-class Malformed(Exception):
-    """The link is out of step and must be closed."""
-
-
 class Bound(NamedTuple):
     """The pool is up."""
 
