Read no age out of a call's patience in the tiers after the first

At fault: Controller.arrived took Patience.age for every request. A call's patience is what its caller's aim has left, never alike, so no first tries were found, the age came out near the whole deadline and the aim lay in the past.

--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -157,7 +157,11 @@
         reach, age = now - ev.unread_for, 0.0
         due = max(now, reach + c.deadline)
         if ev.patience is not None:
-            due, age = now + ev.patience, self.patience[ev.klass].age(ev.patience + ev.unread_for)
+            due = now + ev.patience
+            # A call's patience is what its caller's aim has left, never alike: it tells no age.  Read as one,
+            # it put the aim in the past, and the lower tier turned nearly all calls away.
+            if s.tier == 0:
+                age = self.patience[ev.klass].age(ev.patience + ev.unread_for)
         due = min(due, max(now, self.stop_at))
         r = Request(ev, now, due, min(due, reach - age + c.aim))
         self.live[r.id] = r
--- /dev/null
+++ b/saltcart/deployment.py
@@ -0,0 +1,156 @@
+"""The deployment file of our own (``deploy/saltcart.toml``): the second front, tenants, upstreams, administration.
+
+On the platform every part of it is off.  ``SALTCART_DEPLOYMENT`` names another file.
+"""
+
+from __future__ import annotations
+
+import os
+import re
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from saltcart.config import ConfigError
+from saltcart.drill import Fields, WireError
+
+NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
+PLACE = re.compile(r"(127\.\d{1,3}\.\d{1,3}\.\d{1,3}|localhost|[A-Za-z0-9.-]{1,253}):(\d{1,5})\Z")
+DEFAULT = Path(__file__).resolve().parent.parent / "deploy" / "saltcart.toml"
+
+
+@dataclass(frozen=True, slots=True)
+class AjpFront:
+    listen: str
+    secret: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Admin:
+    listen: str
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class MemberConf:
+    host: str
+    weight: float = 1.0
+    secret: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamConf:
+    name: str
+    members: tuple[MemberConf, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TenantConf:
+    """A tenant: its share of the service, its quota over the fleet, and who does its work."""
+
+    name: str
+    share: float
+    quota: float
+    upstream: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    ajp: AjpFront | None = None
+    admin: Admin | None = None
+    upstreams: tuple[UpstreamConf, ...] = ()
+    tenants: tuple[TenantConf, ...] = ()
+
+
+def name(f: Fields, key: str = "name") -> str:
+    value: str = f.text(key)
+    if not NAME.match(value):
+        raise WireError(f"{f.where}: field {key} is not a name")
+    return value
+
+
+def place(f: Fields, key: str) -> str:
+    value: str = f.text(key)
+    found = PLACE.match(value)
+    if not found or int(found[2]) > 65535:
+        raise WireError(f"{f.where}: field {key} is not host:port")
+    return value
+
+
+def only(f: Fields, *known: str) -> Fields:
+    """A misspelt field must not pass for an absent one."""
+    for key in f.raw:
+        if key not in known:
+            raise WireError(f"{f.where}: no such field: {key}")
+    return f
+
+
+def read_upstream(raw: Any, where: str) -> UpstreamConf:
+    f = only(Fields(raw, where), "name", "members")
+    members = []
+    for n, item in enumerate(f.array("members")):
+        m = only(Fields(item, f"{where}.members[{n}]"), "host", "weight", "secret")
+        weight = m.number("weight", 1.0, low=0.001, high=1000)
+        members.append(MemberConf(place(m, "host"), weight, m.text("secret", "")))
+    if not members:
+        raise WireError(f"{where}: field members is empty")
+    if len({m.host for m in members}) != len(members):
+        raise WireError(f"{where}: field members names a host twice")
+    return UpstreamConf(name(f), tuple(members))
+
+
+def read_tenant(raw: Any, where: str) -> TenantConf:
+    f = only(Fields(raw, where), "name", "share", "quota", "upstream")
+    upstream = f.text("upstream", None)
+    return TenantConf(name(f), f.number("share", 0.0, high=1), f.number("quota", 0.0), upstream)
+
+
+def check(upstreams: tuple[UpstreamConf, ...], tenants: tuple[TenantConf, ...]) -> None:
+    """What must hold of all together; ``WireError`` says what does not."""
+    known = [u.name for u in upstreams]
+    for what, names in (("upstream", known), ("tenant", [t.name for t in tenants])):
+        for value in names:
+            if names.count(value) > 1:
+                raise WireError(f"{what} {value}: named twice")
+    for t in tenants:
+        if t.upstream is not None and t.upstream not in known:
+            raise WireError(f"tenant {t.name}: no such upstream: {t.upstream}")
+    if sum(t.share for t in tenants) > 1 + 1e-9:
+        raise WireError("tenants: the shares add up to more than 1")
+
+
+def read(raw: Any) -> Deployment:
+    try:
+        f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant")
+        ajp = admin = None
+        if "ajp" in f.raw:
+            a = only(f.part("ajp"), "enabled", "listen", "secret")
+            if a.flag("enabled", True):
+                ajp = AjpFront(place(a, "listen"), a.text("secret", ""))
+        if "admin" in f.raw:
+            a = only(f.part("admin"), "enabled", "listen", "token")
+            if a.flag("enabled", True):
+                admin = Admin(place(a, "listen"), a.text("token"))
+                if len(admin.token) < 16:
+                    raise WireError("deployment.admin: field token is shorter than 16 characters")
+                if not admin.listen.startswith(("127.", "localhost:")):
+                    raise WireError("deployment.admin: field listen is not a loopback address")
+        upstreams = tuple(read_upstream(u, f"upstream[{n}]") for n, u in enumerate(f.array("upstream", [])))
+        tenants = tuple(read_tenant(t, f"tenant[{n}]") for n, t in enumerate(f.array("tenant", [])))
+        check(upstreams, tenants)
+        return Deployment(ajp, admin, upstreams, tenants)
+    except WireError as error:
+        raise ConfigError(str(error)) from None
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Deployment:
+    named = environment.get("SALTCART_DEPLOYMENT")
+    path = Path(named) if named else DEFAULT
+    if not named and not path.exists():
+        return Deployment()
+    try:
+        return read(tomllib.loads(path.read_text(encoding="utf-8")))
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
--- a/saltcart/interface.py
+++ b/saltcart/interface.py
@@ -123,6 +123,7 @@
     servers: int = 1
     callers: int = 1
     step: float = 0.001  # shortest time between two batches of events
+    tier: int = 0  # 0 for clients' requests; calls from the tier before arrive at the others
 
 
 # ---- events ---------------------------------------------------------------------------------
