--- /dev/null
+++ b/saltcart/app.py
@@ -0,0 +1,85 @@
+"""Puts the parts together: one core, its fronts, and what stands behind its ports."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import replace
+from typing import Any
+
+from saltcart.config import Config
+from saltcart.core.ports import Log
+from saltcart.core.service import Service
+from saltcart.deployment import Deployment
+from saltcart.front.ajp import AjpConnection
+from saltcart.front.http import HttpConnection
+from saltcart.interface import TenantSpec
+from saltcart.net.announcer import Announcer
+from saltcart.net.clock import Ticker
+from saltcart.net.index import IndexClient
+from saltcart.net.listener import Listener
+from saltcart.net.pool import PoolLink
+from saltcart.net.upstreams import Upstreams
+
+RESERVE = 64  # descriptors kept for what is not an accepted connection
+
+
+class App:
+    """Owns the listeners, links and tasks; ``close`` gives all of them back."""
+
+    def __init__(self, conf: Config, deployment: Deployment, log: Log) -> None:
+        self.conf, self.deployment, self.log = conf, deployment, log
+        settings = conf.settings
+        if deployment.tenants:
+            settings = replace(settings, tenants=tuple(
+                TenantSpec(t.name, t.quota, t.share) for t in deployment.tenants))
+        self.service = Service(settings, conf.gauges, conf.seed, time.time, log)
+        self.listeners: list[Listener] = []
+        self.addresses: dict[str, str] = {}
+        self.tasks = set[asyncio.Task[Any]]()
+        self.upstreams: Upstreams | None = None
+        self.ticker: Ticker | None = None
+
+    async def start(self) -> None:
+        conf, service, loop = self.conf, self.service, asyncio.get_running_loop()
+        most = conf.sockets - RESERVE
+        if conf.announce:
+            announcer = Announcer(conf.announce, conf.name, self.log)
+            service.announce = announcer
+            self.tasks.add(loop.create_task(announcer.run()))
+        if conf.index:
+            service.calls = IndexClient(conf.index, service, self.log)
+        if conf.pool:
+            pool = PoolLink(conf.pool, service, self.log)
+            service.runs = pool
+            self.tasks.add(loop.create_task(pool.run()))
+        else:
+            self.upstreams = Upstreams(self.deployment, service, self.log, service.settings.cores)
+            service.runs = self.upstreams
+            service.pool_up(False, 0.0)
+        self.ticker = Ticker(service, loop)
+        await self._listen("http", Listener(
+            conf.listen, lambda owner: HttpConnection(owner, service), lambda: service.idle_after, most))
+        if (ajp := self.deployment.ajp) is not None:
+            secret = ajp.secret.encode()
+            await self._listen("ajp", Listener(
+                ajp.listen, lambda owner: AjpConnection(owner, service, secret),
+                lambda: service.idle_after, most // 2))
+
+    async def _listen(self, name: str, listener: Listener) -> None:
+        self.addresses[name] = await listener.open()
+        self.listeners.append(listener)
+        self.log("listening", name=self.conf.name, front=name, address=self.addresses[name])
+
+    def leave(self) -> None:
+        """The notice to drain; the listeners stay open, for what reaches them is still answered."""
+        self.service.leave(self.conf.stop_after)
+
+    async def close(self) -> None:
+        for listener in self.listeners:
+            listener.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.ticker is not None:
+            self.ticker.close()
--- a/saltcart/core/ports.py
+++ b/saltcart/core/ports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -46,10 +47,7 @@
     body: bytes = b""
 
 
-class Reply(Protocol):
-    """Where one request's final answer goes; called once at most."""
-
-    def __call__(self, answer: Answer) -> None: ...
+Reply = Callable[[Answer], None]  # where one request's final answer goes; called once at most
 
 
 class Runs(Protocol):
@@ -58,7 +56,8 @@
     ``once``: the run must never be started a second time.  ``within``: seconds that its caller still waits.
     """
 
-    def spawn(self, ident: bytes, klass: str, body: bytes, once: bool, within: float) -> None: ...
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool,
+              within: float) -> None: ...
     def suspend(self, ident: bytes) -> None: ...
     def proceed(self, ident: bytes) -> None: ...
     def supply(self, ident: bytes, reply: bytes) -> None: ...
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -262,8 +262,8 @@
                 self.events.append(i.Finished(a.id, i.Outcome.MOOT, 0.0))
                 return
             r.state = State.RUNNING
-            self.runs.spawn(r.ask.ident, r.ask.klass, r.ask.body, r.spec.effect is not i.Effect.SAFE,
-                            r.due - self.now)
+            self.runs.spawn(r.ask.ident, r.ask.klass, r.ask.account, r.ask.body,
+                            r.spec.effect is not i.Effect.SAFE, r.due - self.now)
 
     def _claim(self, r: Request) -> bool:
         """The entry of a keyed request stands before its run starts, for the whole window."""
--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -1,6 +1,7 @@
-"""The deployment file of our own (``deploy/saltcart.toml``): the second front, tenants, upstreams, administration.
+"""The deployment file of our own: the second front, tenants, upstreams, administration.
 
-On the platform every part of it is off.  ``SALTCART_DEPLOYMENT`` names another file.
+It is ``deploy/saltcart.toml`` unless ``SALTCART_DEPLOYMENT`` names another; on the platform every part of
+it is off.
 """
 
 from __future__ import annotations
--- a/saltcart/net/ajp.py
+++ b/saltcart/net/ajp.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from saltcart.core.ports import Log, RunEvents
+from saltcart.core.ports import Log
 from saltcart.interface import Outcome
 from saltcart.net.base import Connection, address
 from saltcart.wire import ajp
@@ -76,20 +77,17 @@
 
 
 class AjpUpstream:
-    """The runs port: sends each run to the member that has the least to do for its weight."""
+    """Sends each run to the member that has the least to do for its weight."""
 
-    def __init__(self, members: list[Member], events: RunEvents, log: Log, slots: int) -> None:
-        self.members, self.events, self.log, self.slots = members, events, log, slots
+    def __init__(self, members: list[Member], ended: Callable[[bytes, Outcome, float, bytes], None],
+                 log: Log) -> None:
+        self.members, self.ended, self.log = members, ended, log
         self.tasks: dict[bytes, asyncio.Task[None]] = {}
 
-    def start(self) -> None:
-        self.events.pool_up(False, 0.0)
-
-    # ---- the port -----------------------------------------------------------------------------
-
-    def spawn(self, ident: bytes, klass: str, body: bytes, once: bool, within: float) -> None:
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
         if ident not in self.tasks:
-            task = asyncio.get_running_loop().create_task(self._run(ident, klass, body, once, within))
+            task = asyncio.get_running_loop().create_task(
+                self._run(ident, klass, account, body, once, within))
             self.tasks[ident] = task
             task.add_done_callback(lambda _: self.tasks.pop(ident, None))
 
@@ -98,41 +96,35 @@
         if (task := self.tasks.get(ident)) is not None:
             task.cancel()
 
-    def proceed(self, ident: bytes) -> None:
-        """Nothing is ever paused."""
-
-    def supply(self, ident: bytes, reply: bytes) -> None:
-        """Nothing waits for a call."""
-
-    def skip(self, ident: bytes, notice: int) -> None:
-        """Nothing waits for a call."""
-
-    def poll(self) -> None:
-        busy = len(self.tasks)
-        self.events.gauges((min(1.0, busy / self.slots), float(busy)))
+    def close(self) -> None:
+        """Give back the connections that carry nothing."""
+        for member in self.members:
+            for connection in list(member.idle):
+                connection.close()
 
     # ---- one run ------------------------------------------------------------------------------
 
-    async def _run(self, ident: bytes, klass: str, body: bytes, once: bool, within: float) -> None:
+    async def _run(self, ident: bytes, klass: str, account: str, body: bytes, once: bool,
+                   within: float) -> None:
         loop = asyncio.get_running_loop()
         begun, outcome, result = loop.time(), Outcome.ERROR, b""
         try:
             async with asyncio.timeout(max(0.0, within)):
-                outcome, result = await self._try_members(ident, klass, body, once, begun + within)
+                outcome, result = await self._try_members(ident, klass, account, body, once, begun + within)
         except TimeoutError:
             pass  # its caller's time is over; the run may have had its effect
         except asyncio.CancelledError:
             outcome = Outcome.CANCELLED
         self.tasks.pop(ident, None)
-        self.events.run_ended(ident, outcome, loop.time() - begun, result)
+        self.ended(ident, outcome, loop.time() - begun, result)
 
-    async def _try_members(self, ident: bytes, klass: str, body: bytes, once: bool,
+    async def _try_members(self, ident: bytes, klass: str, account: str, body: bytes, once: bool,
                            until: float) -> tuple[Outcome, bytes]:
         tried, repeats = set[Member](), 0 if once else 1
         while (member := self._choose(tried)) is not None:
             tried.add(member)
             try:
-                response = await self._forward(member, ident, klass, body, once, until)
+                response = await self._forward(member, ident, klass, account, body, once, until)
             except NeverRan:
                 continue
             except OSError as error:
@@ -153,7 +145,7 @@
         able = [m for m in fresh if m.rests_until <= now] or fresh
         return min(able, key=lambda m: (m.open + 1) / m.weight, default=None)
 
-    async def _forward(self, member: Member, ident: bytes, klass: str, body: bytes, once: bool,
+    async def _forward(self, member: Member, ident: bytes, klass: str, account: str, body: bytes, once: bool,
                        until: float) -> ajp.Response:
         member.open += 1
         connection: MemberConnection | None = None
@@ -161,8 +153,8 @@
             connection = await self._connection(member, once)
             host, port = address(member.host)
             left = until - asyncio.get_running_loop().time()
-            headers = [(b"Request-Id", ident), (b"Budget-Ms", b"%d" % max(1, left * 1000)),
-                       (b"Content-Length", b"%d" % len(body))]
+            headers = [(b"Request-Id", ident), (b"Account", account.encode()),
+                       (b"Budget-Ms", b"%d" % max(1, left * 1000)), (b"Content-Length", b"%d" % len(body))]
             data = ajp.forward_request(b"POST", b"/call/" + klass.encode(), headers, host.encode(), port,
                                        member.secret)
             connection.body = body[ajp.MAX_DATA:]
--- a/saltcart/net/clock.py
+++ b/saltcart/net/clock.py
@@ -16,6 +16,11 @@
         service.timers.earlier = self.arm
         self.arm()
 
+    def close(self) -> None:
+        self.service.timers.earlier = None
+        if self.handle is not None:
+            self.handle.cancel()
+
     def arm(self) -> None:
         if self.handle is not None:
             self.handle.cancel()
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -44,15 +44,28 @@
         self.loop = asyncio.get_running_loop()
         self.connections: set[ServerConnection] = set()
         self.server: asyncio.Server | None = None
+        self.timer: asyncio.TimerHandle | None = None
 
     async def open(self) -> str:
         host, port = self.listen
         self.server = await self.loop.create_server(
             lambda: self.make(self), host, port, backlog=1024, reuse_address=True)
         host, port = self.server.sockets[0].getsockname()[:2]
-        self.loop.call_later(self.SWEEP, self._sweep)
+        self._again()
         return f"{host}:{port}"
 
+    def close(self) -> None:
+        """For the end of the process only: what is queued at the socket is lost with it."""
+        if self.server is not None:
+            self.server.close()
+        if self.timer is not None:
+            self.timer.cancel()
+        for connection in list(self.connections):
+            connection.close()
+
+    def _again(self) -> None:
+        self.timer = self.loop.call_later(self.SWEEP, self._sweep)
+
     def make_room(self) -> None:
         """Near the descriptor limit the connection that was idle longest makes way."""
         if len(self.connections) > self.most:
@@ -64,4 +77,4 @@
         oldest = self.loop.time() - max(self.SWEEP, self.idle_after())
         for connection in [c for c in self.connections if c.used < oldest and not c.busy()]:
             connection.close()
-        self.loop.call_later(self.SWEEP, self._sweep)
+        self._again()
--- /dev/null
+++ b/saltcart/net/upstreams.py
@@ -0,0 +1,72 @@
+"""Which AJP upstream does a tenant's work: the runs port where there is no worker pool."""
+
+from __future__ import annotations
+
+from saltcart.core.ports import Log, RunEvents
+from saltcart.deployment import Deployment, UpstreamConf
+from saltcart.interface import Outcome
+from saltcart.net.ajp import AjpUpstream, Member
+
+
+class Upstreams:
+    """Sends each run to its tenant's upstream, or to the first one where the tenant names none."""
+
+    def __init__(self, deployment: Deployment, events: RunEvents, log: Log, slots: int) -> None:
+        self.events, self.log, self.slots = events, log, slots
+        self.by_name: dict[str, AjpUpstream] = {}
+        self.by_tenant: dict[str, str] = {}
+        self.where: dict[bytes, AjpUpstream] = {}  # runs under way
+        for conf in deployment.upstreams:
+            self.put(conf)
+        for tenant in deployment.tenants:
+            self.assign(tenant.name, tenant.upstream)
+
+    # ---- changes by the administration --------------------------------------------------------
+
+    def put(self, conf: UpstreamConf) -> None:
+        """A new upstream, or other members for one; what runs on the old members is left to end there."""
+        if conf.name in self.by_name:
+            self.remove(conf.name)
+        self.by_name[conf.name] = AjpUpstream(
+            [Member(m.host, m.weight, m.secret.encode()) for m in conf.members], self._ended, self.log)
+
+    def remove(self, name: str) -> None:
+        self.by_name.pop(name).close()
+
+    def assign(self, tenant: str, upstream: str | None) -> None:
+        if upstream is None:
+            self.by_tenant.pop(tenant, None)
+        else:
+            self.by_tenant[tenant] = upstream
+
+    # ---- the port -----------------------------------------------------------------------------
+
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
+        name = self.by_tenant.get(account)
+        upstream = self.by_name.get(name) if name else next(iter(self.by_name.values()), None)
+        if upstream is None:
+            self.events.run_ended(ident, Outcome.MOOT, 0.0, b"")
+            return
+        self.where[ident] = upstream
+        upstream.spawn(ident, klass, account, body, once, within)
+
+    def suspend(self, ident: bytes) -> None:
+        if (upstream := self.where.get(ident)) is not None:
+            upstream.suspend(ident)
+
+    def proceed(self, ident: bytes) -> None:
+        """Nothing is ever paused."""
+
+    def supply(self, ident: bytes, reply: bytes) -> None:
+        """Nothing waits for a call."""
+
+    def skip(self, ident: bytes, notice: int) -> None:
+        """Nothing waits for a call."""
+
+    def poll(self) -> None:
+        busy = len(self.where)
+        self.events.gauges((min(1.0, busy / self.slots), float(busy)))
+
+    def _ended(self, ident: bytes, outcome: Outcome, took: float, result: bytes) -> None:
+        self.where.pop(ident, None)
+        self.events.run_ended(ident, outcome, took, result)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,81 @@
+"""Ports and a clock for tests of the core: nothing here sleeps or opens a socket."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from saltcart import interface as i
+from saltcart.core.ports import Answer, Ask
+from saltcart.core.service import Service
+
+READ = i.ClassSpec("read", i.Effect.SAFE, 1.0, 3.0, 1.0, calls_below=True, skip_worth=0.5)
+ONCE = i.ClassSpec("oddaja", i.Effect.KEYED, 1.5, 4.0, 5.0, window=6.0, calls_below=True)
+SETTINGS = i.Settings(
+    classes=(READ, ONCE), cores=2, memory_kb=9000.0, answer_slack=0.08, drain_grace=1.0, crowd_limit=8.0,
+    crowd_span=2.0, run_factor=4.0, entry_kb=5.0, preemption=i.Preemption.PAUSE, signal=i.Signal.LEVEL,
+    below=i.Below.TIER, step=0.005, tenants=(i.TenantSpec("a", 10.0, 0.5), i.TenantSpec("b", 10.0, 0.5)),
+)
+
+
+class World:
+    """A service with everything round it faked: ``said`` holds what it asked of its ports, in order."""
+
+    def __init__(self, settings: i.Settings = SETTINGS, up: bool = True, **more: Any) -> None:
+        self.now, self.said = 1_000.0, list[tuple[Any, ...]]()
+        self.logged: list[str] = []
+        self.answers: dict[bytes, list[Answer]] = {}
+        self.service = Service(settings, ("cpu_busy", "runnable"), 1, lambda: self.now,
+                               lambda event, **_: self.logged.append(event), **more)
+        self.service.runs, self.service.calls, self.service.announce = self, self, self
+        if up:
+            self.service.pool_up(False, 100.0)
+
+    # the ports
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
+        self.said.append(("spawn", ident, klass, body, once))
+
+    def suspend(self, ident: bytes) -> None:
+        self.said.append(("suspend", ident))
+
+    def proceed(self, ident: bytes) -> None:
+        self.said.append(("proceed", ident))
+
+    def supply(self, ident: bytes, reply: bytes) -> None:
+        self.said.append(("supply", ident, reply))
+
+    def skip(self, ident: bytes, notice: int) -> None:
+        self.said.append(("skip", ident, notice))
+
+    def poll(self) -> None: ...
+
+    def call(self, ident: bytes, limit: float, body: bytes) -> None:
+        self.said.append(("call", ident, body))
+
+    def give_up(self, ident: bytes) -> None:
+        self.said.append(("give up", ident))
+
+    def accepting(self, on: bool) -> None:
+        self.said.append(("accepting", on))
+
+    # the driver
+    def arrive(self, number: int, klass: str = "oddaja", key: bytes | None = b"k", **more: Any) -> int:
+        ident = b"%016x" % number
+        ask = Ask(ident, klass, "a", self.now, 3.0, 10.0, 0.9, body=b"body-%d" % number,
+                  key=key if klass == "oddaja" else None)
+        return self.service.arrive(replace(ask, **more), self.answers.setdefault(ident, []).append)
+
+    def end(self, number: int, outcome: i.Outcome = i.Outcome.OK, result: bytes = b"result") -> None:
+        self.service.run_ended(b"%016x" % number, outcome, 0.1, result)
+
+    def until(self, then: float) -> None:
+        while (due := self.service.next_due()) is not None and due <= then:
+            self.now = max(self.now, due)
+            self.service.tick()
+        self.now = then
+
+    def spawned(self) -> list[bytes]:
+        return [s[1] for s in self.said if s[0] == "spawn"]
+
+    def verdicts(self, number: int) -> list[str]:
+        return [a.verdict.value for a in self.answers[b"%016x" % number]]
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,224 @@
+"""Stand-ins on loopback for what the service speaks to, and an application started in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, Self
+
+from saltcart.app import App
+from saltcart.config import Config, read_config
+from saltcart.deployment import Deployment
+from saltcart.wire import ajp, http1
+from saltcart.wire.buffer import Buffer
+
+Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+SETTINGS: dict[str, Any] = {
+    "services": [
+        {"name": "read", "effect": "read_like", "onTime": 1.0, "deadline": 3.0, "worth": 1.0},
+        {"name": "oddaja", "effect": "idempotency_key", "onTime": 1.5, "deadline": 4.0, "worth": 5.0,
+         "memorySpan": 6.0}],
+    "extra": {"cores": 2, "memLimitKb": 9000.0, "signal": "level", "preemption": "pause", "runFactor": 4.0,
+              "keyKb": 5.0, "gauges": ["cpu_busy", "runnable"], "idle": 30.0, "below": "tier",
+              "callsByClass": [True, True], "classSkipWorth": [0.5, 0.0]},
+    "contract": {"answerSlack": 0.08, "drainGrace": 0.3, "fall": 2.0, "fallMultiple": 8.0},
+    "orgs": [{"name": "acme", "quotaPerS": 9.0, "share": 1.0}], "limits": {}, "quantum": 0.005,
+}
+
+
+def raw_config(**more: Any) -> dict[str, Any]:
+    return {"name": "n1", "listen": "127.0.0.1:0", "seed": "9", "stop_ms": 1500,
+            "limits": {"sockets": 256}, "settings": SETTINGS, **more}
+
+
+class Server:
+    """A stand-in server on a free port; remembers its connections so that a test can cut them."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler, self.writers = handler, list[asyncio.StreamWriter]()
+        self.address = ""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        try:
+            await self.handler(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def __aenter__(self) -> Self:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+        self.cut()
+
+    def cut(self) -> None:
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+
+class Pool(Server):
+    """A stand-in worker pool: remembers what it was told; ``auto`` ends each run at once."""
+
+    def __init__(self, auto: bool = True) -> None:
+        super().__init__(self._link)
+        self.auto, self.number, self.notices = auto, 0, dict[int, bytes]()
+        self.spawned: list[bytes] = []
+        self.bodies: dict[bytes, bytes] = {}
+        self.told: list[bytes] = []
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def _link(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := (await reader.readline()).rstrip():
+            words = line.split()
+            self.told.append(line)
+            if words[0] in (b"spawn", b"supply"):
+                self.bodies[words[1]] = (await reader.readexactly(int(words[-1]) + 2))[:-2]
+            if words[0] == b"bind":
+                self.writer = writer
+                writer.write(b"bound LOADED 60000\r\n")
+                writer.writelines(data for n, data in self.notices.items() if n > int(words[1]))
+            elif words[0] == b"poll":
+                writer.write(b"polled %b 0.5 1\r\n" % words[1])
+            elif words[0] == b"spawn":
+                self.spawned.append(words[1])
+                if self.auto:
+                    self.finish(words[1])
+
+    def notice(self, text: bytes, body: bytes) -> None:
+        self.number += 1
+        head = b"%b %d %b %d\r\n" % (text.split()[0], self.number, b" ".join(text.split()[1:]), len(body))
+        self.notices[self.number] = head + body + b"\r\n"
+        if self.writer is not None:
+            self.writer.write(self.notices[self.number])
+
+    def finish(self, ident: bytes, end: bytes = b"PASS") -> None:
+        result = b"done " + self.bodies[ident] if end == b"PASS" else b""
+        self.notice(b"finished %b %b 20" % (ident, end), result)
+
+
+@asynccontextmanager
+async def running(deployment: Deployment | None = None, **more: Any) -> AsyncIterator[App]:
+    conf: Config = read_config(raw_config(**more))
+    app = App(conf, deployment or Deployment(), lambda event, **fields: None)
+    await app.start()
+    try:
+        await until(lambda: app.service.healthy)
+        yield app
+    finally:
+        await app.close()
+
+
+async def until(condition: Callable[[], bool], wait: float = 5.0) -> None:
+    async with asyncio.timeout(wait):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def fields(number: int, key: str | None = None, budget: str = "2000") -> list[tuple[str, str]]:
+    named = {"Request-Id": f"{number:016x}", "Received-At": str(int(time.time() * 1000)), "Account": "acme",
+             "Budget-Ms": budget, "Footprint-Kb": "24.5", "Priority-Rank": "0.9"}
+    return [*named.items()] + ([("Once-Key", key)] if key else [])
+
+
+class HttpClient:
+    def __init__(self, address: str) -> None:
+        self.host, self.port = address.split(":")
+        self.buffer, self.parser = Buffer(), http1.ResponseParser(1 << 16)
+
+    async def open(self) -> Self:
+        self.reader, self.writer = await asyncio.open_connection(self.host, int(self.port))
+        return self
+
+    def send(self, number: int, klass: str = "read", body: bytes = b"x", **more: Any) -> None:
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields(number, **more))
+        self.writer.write(f"POST /call/{klass} HTTP/1.1\r\nHost: h\r\n{head}"
+                          f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+    async def answer(self) -> http1.Response:
+        while (response := self.parser.next(self.buffer)) is None:
+            data = await self.reader.read(4096)
+            if not data:
+                raise ConnectionResetError
+            self.buffer.write(data)
+        return response
+
+    async def ask(self, number: int, klass: str = "read", body: bytes = b"x", **more: Any) -> http1.Response:
+        self.send(number, klass, body, **more)
+        return await self.answer()
+
+    def drop(self) -> None:
+        self.writer.transport.abort()
+
+
+class AjpClient(HttpClient):
+    """A gateway's half of AJP."""
+
+    def __init__(self, address: str, secret: bytes = b"") -> None:
+        super().__init__(address)
+        self.replies, self.secret, self.rest = ajp.ResponseParser(1 << 16), secret, b""
+
+    def send(self, number: int, klass: str = "read", body: bytes = b"x", first: int = ajp.MAX_DATA,
+             **more: Any) -> None:
+        """``first``: how much of the body goes along unasked."""
+        headers = [(n.encode(), v.encode()) for n, v in fields(number, **more)]
+        self.writer.write(ajp.forward_request(
+            b"POST", b"/call/" + klass.encode(), [*headers, (b"Content-Length", b"%d" % len(body))],
+            b"localhost", 8009, self.secret))
+        if body:
+            self.writer.write(ajp.body_packet(body[:first]))
+        self.rest = body[first:]
+
+    async def message(self) -> ajp.Response | ajp.Pong | ajp.WantBody:
+        while (message := self.replies.next(self.buffer)) is None:
+            data = await self.reader.read(4096)
+            if not data:
+                raise ConnectionResetError
+            self.buffer.write(data)
+        return message
+
+    async def answer(self) -> http1.Response:
+        while isinstance(message := await self.message(), ajp.WantBody):
+            part, self.rest = self.rest[:message.size], self.rest[message.size:]
+            self.writer.write(ajp.body_packet(part))
+        assert isinstance(message, ajp.Response)
+        return http1.Response(message.status, message.headers, message.body, message.reuse)
+
+
+class AjpServer(Server):
+    """A stand-in AJP container; ``act`` decides what becomes of each request."""
+
+    def __init__(self, act: Callable[[ajp.ForwardRequest], Awaitable[bytes | None]],
+                 secret: bytes = b"") -> None:
+        super().__init__(self._link)
+        self.act, self.secret = act, secret
+        self.seen: list[ajp.ForwardRequest] = []
+
+    async def _link(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        buffer, parser = Buffer(), ajp.RequestParser(1 << 16, self.secret)
+        while data := await reader.read(4096):
+            buffer.write(data)
+            while (message := parser.next(buffer)) is not None:
+                if isinstance(message, ajp.Ping):
+                    writer.write(ajp.CPONG_PACKET)
+                elif isinstance(message, ajp.MoreBody):
+                    writer.write(message.data)
+                else:
+                    self.seen.append(message)
+                    answer = await self.act(message)
+                    if answer is None:  # drop the connection
+                        writer.transport.abort()
+                        return
+                    writer.write(answer)
+
+
+def container_answer(status: int, body: bytes = b"", reuse: bool = True) -> bytes:
+    return ajp.response(status, b"R", [], body, reuse)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -343,9 +343,9 @@
         desk.now += 0.001
         busy += out is not None
         said = desk.until(desk.now)
-        for a in [a for a in desk.said if isinstance(a, i.Run) and a.id not in waiting]:
-            waiting.add(a.id)
-            said += desk.send(i.AtCall(a.id))
+        for run in [a for a in desk.said if isinstance(a, i.Run) and a.id not in waiting]:
+            waiting.add(run.id)
+            said += desk.send(i.AtCall(run.id))
         if out is not None and step - out[1] >= 20:
             said += desk.send(i.CallEnded(out[0], i.Outcome.OK, 0.02)) + desk.send(i.AtCall(out[0]))
             out = None
@@ -414,8 +414,8 @@
     desk = Desk(replace(CALLS, call_share=share, callers=1200))
     for n in range(1, 20):
         desk.arrive(n, n % 2, caller=10 ** 9 + n, cost=0.0, tenant=7)
-        for a in [a for a in desk.said if isinstance(a, i.Run) and a.id == n]:
-            desk.send(i.AtCall(a.id))
+        for run in [a for a in desk.said if isinstance(a, i.Run) and a.id == n]:
+            desk.send(i.AtCall(run.id))
         for a in [a for a in desk.said if isinstance(a, i.Call) and a.id in desk.c.live]:
             desk.send(i.CallEnded(a.id, i.Outcome.OK, 0.05))
         desk.until(10 + n * 0.2)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,198 @@
+"""The core's rules, with its ports faked and its clock passed in."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from saltcart import interface as i
+from saltcart.core.keys import KeyTable
+from saltcart.core.service import Unacceptable
+from tests.fakes import SETTINGS, World
+
+
+def test_a_request_runs_and_its_result_passes_unchanged() -> None:
+    w = World()
+    w.arrive(1, "read", body=b"\x00\xffraw")
+    assert ("spawn", b"%016x" % 1, "read", b"\x00\xffraw", False) in w.said
+    w.end(1, result=b"\x01\r\n\xfe")
+    assert w.verdicts(1) == ["served"] and w.answers[b"%016x" % 1][0].body == b"\x01\r\n\xfe"
+    assert not w.service.requests and not w.service.by_ident
+
+
+@pytest.mark.parametrize(("outcome", "verdict"), [
+    (i.Outcome.ERROR, "failed"), (i.Outcome.CANCELLED, "failed"), (i.Outcome.MOOT, "failed")])
+@pytest.mark.parametrize("klass", ["read", "oddaja"])
+def test_a_run_that_ends_badly_is_answered_once(outcome: i.Outcome, verdict: str, klass: str) -> None:
+    w = World()
+    w.arrive(1, klass)
+    w.end(1, outcome)
+    w.end(1, outcome)
+    assert w.verdicts(1) == [verdict]
+
+
+@pytest.mark.parametrize("moment", ["running", "finished", "caller gone", "late read"])
+def test_a_further_try_shares_the_first_ones_run(moment: str) -> None:
+    w = World()
+    first = w.arrive(1)
+    if moment == "caller gone":
+        w.service.abandon(first)
+    if moment in ("finished", "late read"):
+        w.end(1)
+    if moment == "late read":  # it came inside the window and is read after it
+        reached = w.now + 5.9
+        w.until(w.now + 7.0)
+        w.arrive(2, received=reached, budget=4.0)
+    else:
+        w.arrive(2)
+    if moment in ("running", "caller gone"):
+        assert w.verdicts(2) == []
+        w.end(1)
+    assert w.spawned() == [b"%016x" % 1]
+    assert w.verdicts(2) == ["served"] and w.answers[b"%016x" % 2][0].body == b"result"
+
+
+def test_a_try_of_a_failed_run_fails_and_does_not_run() -> None:
+    w = World()
+    w.arrive(1)
+    w.arrive(2)
+    w.end(1, i.Outcome.ERROR)
+    w.arrive(3)
+    assert [w.verdicts(n) for n in (1, 2, 3)] == [["failed"]] * 3 and len(w.spawned()) == 1
+
+
+def test_the_key_is_free_after_its_window_and_for_other_tenants() -> None:
+    w = World()
+    w.arrive(1)
+    w.end(1)
+    w.arrive(2, account="b")  # no tenant is served another's result
+    w.end(2, result=b"other")
+    assert w.answers[b"%016x" % 2][0].body == b"other"
+    w.until(w.now + 6.2)
+    w.arrive(3)
+    assert len(w.spawned()) == 3
+
+
+def test_a_key_that_finds_no_room_is_refused_and_not_run() -> None:
+    w = World(max_keys=1)
+    w.arrive(1)
+    w.arrive(2, key=b"other")
+    assert w.verdicts(2) == ["refused"] and w.answers[b"%016x" % 2][0].back_off > 0
+    assert w.spawned() == [b"%016x" % 1]
+
+
+def test_the_key_table_forgets_and_keeps_what_has_run() -> None:
+    table = KeyTable(9, grace=2.0)
+    table.keep(("a", "c", b"x"), 1, 10.0).ran = True
+    table.keep(("a", "c", b"y"), 2, 10.0)
+    assert table.release(1) is None and table.release(2) is not None  # a run's entry is never given up
+    table.sweep(11.9, lambda _: False)
+    assert len(table) == 1
+    table.sweep(12.1, lambda _: False)
+    assert len(table) == 0 and not table.by_holder
+
+
+def test_nothing_runs_that_came_late_in_a_drain_and_all_is_answered() -> None:
+    w = World()
+    for n in range(1, 9):
+        w.arrive(n, "read")
+    w.service.leave(3.0)
+    assert ("accepting", False) in w.said
+    w.until(w.now + 1.1)
+    before = len(w.spawned())
+    w.arrive(20, "read")
+    w.until(w.now + 1.89)
+    assert w.verdicts(20) == ["refused"] and b"%016x" % 20 not in w.spawned()[before:]
+    assert all(len(found) == 1 for found in w.answers.values())
+
+
+def test_the_core_answers_when_the_module_does_not() -> None:
+    w = World()
+    w.arrive(1, "read")
+    w.service.controller.live.clear()  # type: ignore[union-attr]  # as if the module had lost it
+    w.until(w.now + 3.05)
+    assert w.verdicts(1) == ["failed"] and "overdue" in w.logged
+
+
+@pytest.mark.parametrize(("outcome", "klass", "then"), [
+    (i.Outcome.OK, "oddaja", "supply"), (i.Outcome.OK, "read", "supply"),
+    (i.Outcome.BROKEN, "oddaja", "failed"), (i.Outcome.TIMEOUT, "oddaja", "failed"),
+    (i.Outcome.ERROR, "oddaja", "failed"), (i.Outcome.REJECTED, "oddaja", "call"),
+    (i.Outcome.UNREACHABLE, "oddaja", "call"), (i.Outcome.BROKEN, "read", "skip")])
+def test_how_a_call_ended(outcome: i.Outcome, klass: str, then: str) -> None:
+    w = World()
+    w.arrive(1, klass)
+    ident = b"%016x" % 1
+    w.service.run_blocked(ident, 7, b"question")
+    assert ("call", ident, b"question") in w.said
+    w.said.clear()
+    w.service.call_ended(ident, outcome, b"reply")
+    w.service.call_ended(ident, outcome, b"reply")  # a second reply to one call is nothing
+    w.until(w.now + 0.2)
+    if then == "failed":
+        assert w.verdicts(1) == ["failed"] and not any(s[0] == "call" for s in w.said)
+    else:
+        assert then in [s[0] for s in w.said] and w.verdicts(1) == []
+    assert then != "supply" or w.said[0] == ("supply", ident, b"reply")
+
+
+def test_a_call_without_reply_is_given_up() -> None:
+    w = World()
+    w.arrive(1)
+    w.service.run_blocked(b"%016x" % 1, 1, b"")
+    w.until(w.now + 2.5)
+    assert ("give up", b"%016x" % 1) in w.said and w.verdicts(1) == ["failed"]
+
+
+def test_a_gone_caller_is_owed_nothing() -> None:
+    w = World(replace(SETTINGS, cores=1))
+    numbers = [w.arrive(n, "read") for n in (1, 2, 3)]
+    for number in numbers:
+        w.service.abandon(number)
+    w.end(1)
+    w.until(w.now + 5)
+    assert all(w.answers[b"%016x" % n] == [] for n in (1, 2, 3)) and not w.service.requests
+
+
+def test_a_stopped_run_that_is_not_heard_of_is_written_off() -> None:
+    w = World()
+    w.service.abandon(w.arrive(1, "read"))
+    assert ("suspend", b"%016x" % 1) in w.said
+    w.until(w.now + 2.5)
+    assert not w.service.requests and "written-off" in w.logged
+
+
+def test_a_lost_spawn_of_a_keyed_run_fails_and_never_runs_again() -> None:
+    w = World()
+    w.arrive(1)
+    w.service.run_lost(b"%016x" % 1)
+    w.arrive(2)
+    assert w.verdicts(1) == w.verdicts(2) == ["failed"] and len(w.spawned()) == 1
+
+
+@pytest.mark.parametrize("fields", [
+    {"klass": "nothing"}, {"account": "c"}, {"key": None}, {"number": 1}])
+def test_what_breaks_the_protocol_is_not_taken(fields: dict[str, object]) -> None:
+    w = World()
+    w.arrive(1)
+    with pytest.raises(Unacceptable):
+        w.arrive(**{"number": 2, **fields})  # type: ignore[arg-type]
+    assert len(w.service.requests) == 1
+
+
+def test_before_the_pool_is_up_requests_are_refused_and_checks_are_bad() -> None:
+    w = World(up=False)
+    assert not w.service.healthy
+    w.arrive(1)
+    assert w.verdicts(1) == ["refused"]
+    w.service.pool_up(True, 2.0)
+    assert w.service.healthy and w.service.controller is not None and w.service.controller.s.cold
+    assert w.service.controller.begun == w.now - 2.0
+
+
+def test_a_timer_uses_the_gauges_it_has() -> None:
+    w = World()
+    w.service.gauges((0.25, 3.0, 9.0))
+    w.until(w.now + 0.2)
+    assert w.service.gauge_values == {"cpu_busy": 0.25, "runnable": 3.0}
