--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
 from saltcart.config import Config
-from saltcart.core.ports import Log
+from saltcart.core.ports import Log, Runs
 from saltcart.core.service import Service
 from saltcart.deployment import Deployment
 from saltcart.front.ajp import AjpConnection
@@ -27,17 +28,19 @@
 class App:
     """Owns the listeners, links and tasks; ``close`` gives all of them back."""
 
-    def __init__(self, conf: Config, deployment: Deployment, log: Log) -> None:
+    def __init__(self, conf: Config, deployment: Deployment, log: Log,
+                 clock: Callable[[], float] = time.time) -> None:
         self.conf, self.deployment, self.log = conf, deployment, log
         settings = conf.settings
         if deployment.tenants:
             settings = replace(settings, tenants=tuple(
                 TenantSpec(t.name, t.quota, t.share) for t in deployment.tenants))
-        self.service = Service(settings, conf.gauges, conf.seed, time.time, log)
+        self.service = Service(settings, conf.gauges, conf.seed, clock, log)
         self.listeners: list[Listener] = []
         self.addresses: dict[str, str] = {}
         self.tasks = set[asyncio.Task[Any]]()
         self.upstreams: Upstreams | None = None
+        self.runs: Runs | None = None  # set before the start: in the place of a pool or upstreams
         self.ticker: Ticker | None = None
 
     async def start(self) -> None:
@@ -49,7 +52,10 @@
             self.tasks.add(loop.create_task(announcer.run()))
         if conf.index:
             service.calls = IndexClient(conf.index, service, self.log)
-        if conf.pool:
+        if self.runs is not None:
+            service.runs = self.runs
+            service.pool_up(False, 0.0)
+        elif conf.pool:
             pool = PoolLink(conf.pool, service, self.log)
             service.runs = pool
             self.tasks.add(loop.create_task(pool.run()))
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,199 @@
+"""The rules on real sockets, in one process, and the program started as the deploy file says."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.standins import HttpClient, Pool, Server, raw_config, running, until
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def ident(number: int) -> bytes:
+    return b"%016x" % number
+
+
+def test_answers_carry_the_result_unchanged_and_the_connection_lives_on() -> None:
+    async def play() -> None:
+        async with Pool() as pool, running(pool=pool.address) as app:
+            client = await HttpClient(app.addresses["http"]).open()
+            for n, body in enumerate((b"\r\n\r\n", b"", bytes(range(256)) * 8), 1):
+                answer = await client.ask(n, body=body)
+                assert (answer.status, answer.body) == (200, b"done " + body)
+                assert b"server-hint" in answer.headers and answer.keep_alive
+            client.send(8, body=b"first")  # a second request behind an open one waits its turn
+            client.send(9, body=b"second")
+            assert [(await client.answer()).body for _ in "12"] == [b"done first", b"done second"]
+            for path in (b"/ping", b"/other", b"/call/x"):
+                client.writer.write(b"GET %b HTTP/1.1\r\n\r\n" % path)
+            assert [(await client.answer()).status for _ in "123"] == [200, 404, 405]
+            client.writer.write(b"nonsense\r\n\r\n")
+            answer = await client.answer()
+            assert (answer.status, answer.keep_alive) == (400, False)
+
+    asyncio.run(play())
+
+
+def test_a_closed_connection_is_a_caller_that_has_gone() -> None:
+    async def play() -> None:
+        async with Pool(auto=False) as pool, running(pool=pool.address) as app:
+            for n, end in ((1, "reset"), (2, "close")):
+                client = await HttpClient(app.addresses["http"]).open()
+                client.send(n)
+                await until(lambda n=n: len(pool.spawned) == n)  # type: ignore[misc]
+                client.drop() if end == "reset" else client.writer.close()
+                await until(lambda n=n: b"suspend " + ident(n) in pool.told)  # type: ignore[misc]
+
+    asyncio.run(play())
+
+
+def test_the_pool_link_drops_and_nothing_runs_or_is_answered_twice() -> None:
+    async def play() -> None:
+        async with Pool(auto=False) as pool, running(pool=pool.address) as app:
+            client = await HttpClient(app.addresses["http"]).open()
+            client.send(1, "oddaja", key="k")
+            await until(lambda: pool.spawned == [ident(1)] and pool.told[-1].startswith(b"poll"))
+            await until(lambda: not app.service.runs.session.pending)  # type: ignore[attr-defined]
+            pool.writer = None
+            pool.cut()
+            pool.finish(ident(1))  # no link exists: the notice waits
+            answer = await client.answer()
+            assert answer.body == b"done x" and pool.spawned == [ident(1)]
+            pool.cut()
+            await until(lambda: pool.told.count(b"bind 1") == 1)
+            assert (await client.ask(2, "oddaja", key="k")).body == b"done x" and len(pool.spawned) == 1
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("how", ["late", "cut"])
+def test_the_service_outlives_what_it_speaks_to(how: str) -> None:
+    """A pool that comes up late, and an announce service that is away, stop nothing."""
+    reports: list[bytes] = []
+
+    async def announce(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            reports.append(head.split(b" ")[1] + await reader.readexactly(20))
+            writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    async def play() -> None:
+        async with Server(announce) as registry, Pool() as pool:
+            if how == "late":
+                pool.server.close()
+                host, port = pool.address.split(":")
+
+                async def come_up() -> None:
+                    await asyncio.sleep(0.3)
+                    pool.server = await asyncio.start_server(pool._serve, host, int(port))
+
+                coming = asyncio.create_task(come_up())
+            async with running(pool=pool.address, announce=registry.address) as app:
+                await until(lambda: reports[:1] == [b'/announce/n1{"accepting":"true"}'])
+                registry.cut()
+                client = await HttpClient(app.addresses["http"]).open()
+                assert (await client.ask(1)).status == 200
+                await until(lambda: len(reports) > 1)
+            if how == "late":
+                await coming
+
+    asyncio.run(play())
+
+
+def test_calls_pass_unchanged_and_a_break_under_one_fails_what_must_run_once() -> None:
+    lines: list[bytes] = []
+
+    async def proxy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := await reader.readline():
+            lines.append(line)
+            words = line.split()
+            if words[0] != b"GET":
+                continue
+            body = (await reader.readexactly(int(words[3]) + 2))[:-2]
+            if body == b"break":
+                writer.transport.abort()
+                return
+            writer.write(b"%b HIT %d\r\n%b\r\n" % (words[1], len(body), body))
+
+    async def play() -> None:
+        async with Pool(auto=False) as pool, Server(proxy) as index, running(
+                pool=pool.address, index=index.address) as app:
+            for n, question in ((1, b"\r\n?"), (2, b"break")):
+                client = await HttpClient(app.addresses["http"]).open()
+                client.send(n, "oddaja", key=f"k{n}")
+                await until(lambda n=n: ident(n) in pool.spawned)  # type: ignore[misc]
+                pool.notice(b"blocked " + ident(n), question)
+                if question == b"break":
+                    assert (await client.answer()).status == 500
+                    continue
+                await until(lambda: pool.bodies[ident(1)] == b"\r\n?")
+                pool.finish(ident(n))
+                assert (await client.answer()).status == 200
+            assert sum(line.startswith(b"GET") for line in lines) == 2
+
+    asyncio.run(play())
+
+
+# ---- the program ------------------------------------------------------------------------------
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as s:
+        port: int = s.getsockname()[1]
+        return port
+
+
+async def start(config: Path, raw: dict[str, Any], **env: str) -> asyncio.subprocess.Process:
+    config.write_text(json.dumps(raw))
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    return await asyncio.create_subprocess_shell(
+        run.replace(".venv/bin/python", sys.executable), cwd=ROOT, stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(config), **env})
+
+
+def test_the_program_serves_drains_and_ends(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Pool(auto=False) as pool:
+            program = await start(tmp_path / "c.json", raw_config(pool=pool.address, stop_ms=600))
+            assert program.stdout is not None
+            first = json.loads(await program.stdout.readline())
+            assert first["event"] == "listening" and first["front"] == "http"
+            client = await HttpClient(first["address"]).open()
+            await until(lambda: b"bind 0" in pool.told)
+            client.send(1)
+            await until(lambda: len(pool.spawned) == 1)
+            program.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.4)
+            late = await HttpClient(first["address"]).open()
+            assert (await late.ask(2)).status == 503
+            assert (await client.answer()).status in (500, 503)
+            out, err = await program.communicate()
+            assert program.returncode == 0 and err == b""
+            assert json.loads(out.splitlines()[-1])["event"] == "stopped"
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(("raw", "env", "named"), [
+    ({"listen": 5}, {}, "listen"), ({"settings": {}}, {}, "extra"), ({"seed": "xyz"}, {}, "xyz"),
+    ({}, {"SALTCART_DEPLOYMENT": "/does/not/exist"}, "exist"),
+    ({}, {"BALANCER_CONFIG": "/not/there"}, "there")])
+def test_a_bad_configuration_ends_with_one_plain_line(
+        tmp_path: Path, raw: dict[str, Any], env: dict[str, str], named: str) -> None:
+    async def play() -> None:
+        program = await start(tmp_path / "c.json", {**raw_config(), **raw}, **env)
+        _, err = await program.communicate()
+        assert program.returncode == 2 and named in err.decode()
+        assert len(err.splitlines()) == 1 and b"Traceback" not in err
+
+    asyncio.run(play())
