--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -8,6 +8,7 @@
 import random
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 from itertools import accumulate
 from operator import mul
 from typing import Any
@@ -15,7 +16,7 @@
 from saltcart.interface import (
     Abandoned, Action, Advise, Arrived, AtCall, Below, Call, CallEnded, Effect, Event, Fail, Finished,
     Health, IdleClose, Keep, Leaving, Note, Outcome, Preemption, Release, Run, Settings, Share, Signal,
-    SkipCall, Started, Stop, TurnAway, Wake, Woken,
+    SkipCall, Started, Stop, TenantSpec, Tenants, TurnAway, Wake, Woken,
 )
 
 GAIN_NOW, GAIN_BEFORE = 0.42, 0.1  # the paper's increments, after its Eq. 11
@@ -25,16 +26,18 @@
 BUSY, GROW_AFTER = 0.85, 0.25  # cores idle below this; the gauge is a mean of half a second, so not faster
 CALL_TOP = 0.8  # of the share that the dependency survives: calls that were given up linger there
 CALL_FLOOR, SKIP_AT = 0.25, 0.1  # of that: about its slots; of the aim: a short queue is chance
+QUOTA_SPAN = 2.0  # aims' worth of its quota that a tenant may have run ahead
+BACK_OFF = 0.05  # of the aim: how long a caller that was turned away is asked to stay away
 NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE)
 
 
 class Request:
     """What is known of one request that is held or under way."""
 
-    def __init__(self, ev: Arrived, now: float, due: float, aim: float) -> None:
+    def __init__(self, ev: Arrived, now: float, due: float, aim: float, tenant: TenantSpec | None) -> None:
         self.id, self.k, self.size, self.due, self.aim = ev.id, ev.klass, ev.size_kb, due, aim
         self.state, self.ran, self.answered = HELD, False, False
-        self.read, self.reach, self.started = now, now - ev.unread_for, now
+        self.tenant, self.read, self.reach, self.started = tenant, now, now - ev.unread_for, now
         self.went = self.away = 0.0  # when it left the cores for a call, and its time there in all
 
 
@@ -119,6 +122,7 @@
         self.kept: dict[int, bool | None] = {}  # entries of the key table: did the run succeed
         self.count = [0, 0, 0, 0, 0]  # live requests by state
         self.memory, self.aim = 0.0, min(c.aim for c in s.classes)
+        self.had: dict[str, tuple[float, float]] = {}  # by tenant: runs not made good by its quota
         # The sweep is the only timer: fine enough that acting a sweep early costs little of an aim.
         self.sweep = max(2 * s.step, self.aim / 24)
         self.period = self.aim / 3  # PI period: some completions, and well inside a surge
@@ -137,7 +141,8 @@
         self.call_base = self.call_time = self.call_gate = self.call_cut = 0.0
         self.on: dict[type, Callable[[float, Any], None]] = {
             Started: self.started, Arrived: self.arrived, Finished: self.finished, AtCall: self.at_call,
-            Abandoned: self.abandoned, CallEnded: self.call_ended, Leaving: self.leaving, Woken: self.woken}
+            Abandoned: self.abandoned, CallEnded: self.call_ended, Leaving: self.leaving, Woken: self.woken,
+            Tenants: self.tenants}
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.out = []
@@ -163,7 +168,8 @@
             if s.tier == 0:
                 age = self.patience[ev.klass].age(ev.patience + ev.unread_for)
         due = min(due, max(now, self.stop_at))
-        r = Request(ev, now, due, min(due, reach - age + c.aim))
+        r = Request(ev, now, due, min(due, reach - age + c.aim),
+                    s.tenants[ev.tenant] if ev.tenant is not None and ev.tenant < len(s.tenants) else None)
         self.live[r.id] = r
         self.count[HELD], self.held[r.k] = self.count[HELD] + 1, self.held[r.k] + 1
         self.memory += r.size
@@ -191,9 +197,22 @@
                 self.memory + s.entry_kb * (c.effect is Effect.KEYED) + r.size > 0.9 * s.memory_kb):
             return True
         n = len(s.classes)
+        # Only where it is worth nothing: at a tenth of its worth, refusing it first lost 0.02 of the score.
+        if self.pressure > 0 and s.over_quota_worth == 0 and self.past_quota(now, r.tenant):
+            return True
         inside, low = ev.standing * n % 1, self.order.index(r.k) >= n - self.low  # rank among its own class
         return inside < (self.pressure if low else self.pressure - 1)
 
+    def past_quota(self, now: float, tenant: TenantSpec | None) -> bool:
+        """Has this tenant had more runs here than its quota's part for this server, over some aims?"""
+        if tenant is None:
+            return False
+        rate = tenant.quota / max(1, self.s.servers)
+        had, since = self.had.get(tenant.name, (0.0, now))
+        had = max(0.0, had - rate * (now - since))
+        self.had[tenant.name] = had, now
+        return had > QUOTA_SPAN * self.aim * rate
+
     def repeat(self, now: float, r: Request, of: int) -> None:
         """A further try: share the first one's answer, or fail; never a second run."""
         r.ran = True
@@ -233,11 +252,18 @@
         self.out += Health(False, True), Note(f"draining, stop in {ev.within:.2f} s")
         self.advise(1.0, leaving=True)
 
+    def tenants(self, now: float, ev: Tenants) -> None:
+        self.s = replace(self.s, tenants=ev.tenants)
+        known = {t.name for t in ev.tenants}
+        self.had = {name: had for name, had in self.had.items() if name in known}
+
     def end(self, r: Request, refuse: bool = False) -> None:
         """The one place where a final answer is sent; what has run is never refused."""
         if not r.answered:
             r.answered, refuse = True, refuse and not r.ran
-            self.out.append(TurnAway(r.id, self.advised > 0.2) if refuse else Fail(r.id))
+            # Callers are told when to come back: soon, for pressure moves fast, but not to one that leaves.
+            stay = min(self.s.max_stay_away, self.aim * (BACK_OFF if self.stop_at == float("inf") else 1.0))
+            self.out.append(TurnAway(r.id, self.advised > 0.2, stay) if refuse else Fail(r.id))
         self.close(r, True)
 
     def close(self, r: Request, stop: bool) -> None:
@@ -283,6 +309,9 @@
             self.held[k] -= 1
             self.move(r, ON_CORE)
             r.ran, r.started = True, now
+            if r.tenant is not None:
+                had, since = self.had.get(r.tenant.name, (0.0, now))
+                self.had[r.tenant.name] = had + 1, since
             self.memory += r.size * (s.run_factor - 1)
             self.waits[k], self.starts[k] = self.waits[k] + now - r.read, self.starts[k] + 1
             self.out.append(Run(r.id))
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -63,6 +63,7 @@
         self.gauge_names, self.gauge_values = gauge_names, dict[str, float]()
         self.klass = {c.name: n for n, c in enumerate(settings.classes)}
         self.tenant = {t.name: n for n, t in enumerate(settings.tenants)}
+        self.hosted = False  # tenants are the administration's: without one there is no service
         self.controller: Controller | None = None
         self.runs: Runs
         self.calls: Calls | None = None
@@ -113,7 +114,7 @@
         if k is None:
             raise Unacceptable("no such class")
         tenant = self.tenant.get(ask.account)
-        if tenant is None and self.tenant:
+        if tenant is None and (self.tenant or self.hosted):
             raise Unacceptable("no such account")
         if ask.ident in self.by_ident:
             raise Unacceptable("this id is in use")
@@ -162,6 +163,13 @@
         if self.controller is not None:
             self._feed(i.Leaving(within))
 
+    def set_tenants(self, tenants: tuple[i.TenantSpec, ...]) -> None:
+        """Other tenants from now on; requests under way keep theirs."""
+        self._read_clock()
+        self.settings = replace(self.settings, tenants=tenants)
+        self.tenant = {t.name: n for n, t in enumerate(tenants)}
+        self._feed(i.Tenants(tenants))
+
     # ---- from the pool and the calls ----------------------------------------------------------
 
     def pool_up(self, cold: bool, age: float) -> None:
@@ -238,6 +246,8 @@
     def _feed(self, event: i.Event) -> None:
         """Give the module an event and carry out what it says; events that follow wait their turn."""
         self.events.append(event)
+        if self.controller is None:
+            self.events.clear()  # the module starts with the settings of that moment
         if self.busy or self.controller is None:
             return
         self.busy = True
--- /dev/null
+++ b/saltcart/importer/__main__.py
@@ -0,0 +1,39 @@
+"""``python -m saltcart.importer FILE…``: our configuration on standard output, the report on standard error.
+
+A file whose name ends in ``.properties`` is mod_jk's, any other is Apache's.  Ends with 0 if all was carried
+over, with 1 if something was reported, with 2 if a file can't be read.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from saltcart.deployment import UpstreamConf
+from saltcart.importer import Report, apache, modjk, to_toml
+
+
+def main(files: list[str]) -> int:
+    if not files:
+        print("usage: python -m saltcart.importer FILE...", file=sys.stderr)
+        return 2
+    report, upstreams = Report(), dict[str, UpstreamConf]()
+    for file in files:
+        try:
+            text = Path(file).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            print(f"{file}: {error}", file=sys.stderr)
+            return 2
+        reader = modjk.read if file.endswith(".properties") else apache.read
+        for upstream in reader(file, text, report):
+            if upstream.name in upstreams:
+                report.add(file, 1, f"a second upstream of the name {upstream.name} was left out")
+            else:
+                upstreams[upstream.name] = upstream
+    sys.stdout.write(to_toml(upstreams.values()))
+    sys.stderr.write(str(report))
+    return 1 if report.lines else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/saltcart/interface.py
+++ b/saltcart/interface.py
@@ -185,6 +185,12 @@
     within: float
 
 
+class Tenants(NamedTuple):
+    """The tenants are others from now on."""
+
+    tenants: tuple[TenantSpec, ...]
+
+
 class Woken(NamedTuple):
     """A timer is due; gauges may be absent."""
 
@@ -195,7 +201,7 @@
     sockets: float | None = None
 
 
-Event = Started | Arrived | Finished | Abandoned | AtCall | CallEnded | Leaving | Woken
+Event = Started | Arrived | Finished | Abandoned | AtCall | CallEnded | Leaving | Tenants | Woken
 
 
 # ---- actions --------------------------------------------------------------------------------
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -129,6 +129,20 @@
         assert len(late) >= served if served else len(late) < 30
 
 
+def test_a_tenant_past_its_quota_spends_no_other_tenants_under_pressure() -> None:
+    tenants = (i.TenantSpec("greedy", 2.0, 0.5), i.TenantSpec("modest", 2.0, 0.5))
+    desk = Desk(replace(BASE, tenants=tenants, over_quota_worth=0.0))
+    for n in range(1, 40):
+        desk.arrive(n, tenant=0)
+        desk.finish(n)
+    desk.c.pressure = 0.5
+    assert any(isinstance(a, i.TurnAway) for a in desk.arrive(50, tenant=0))
+    assert i.Run(51) in desk.arrive(51, tenant=1)
+    desk.send(i.Tenants((tenants[1], replace(tenants[0], quota=900.0))))  # the indexes are other ones now
+    desk.now += 0.05
+    assert not any(isinstance(a, i.TurnAway) for a in desk.arrive(52, tenant=1))
+
+
 def test_cold_server_bears_a_smaller_crowd() -> None:
     climber = Climber(replace(BASE, cold=True, cold_from=0.25, cold_span=10.0))
     assert climber.ceiling(0.0) == pytest.approx(2 * 2.0)
--- /dev/null
+++ b/tests/test_importer.py
@@ -0,0 +1,115 @@
+"""The importer: what is carried over, and what is reported with file and line."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from saltcart import deployment
+from saltcart.importer import Report, apache, modjk, to_toml
+
+WORKERS = """\
+# two nodes behind one balancer
+base=10.0.0
+worker.list=lb, status
+worker.template.type=ajp13
+worker.template.port=8010
+worker.template.lbfactor=2
+worker.one.reference=worker.template
+worker.one.host=$(base).1
+worker.two.reference=worker.template
+worker.two.host=two.example.org
+worker.two.lbfactor=0.5
+worker.two.secret=a"b
+worker.two.socket_timeout=10
+worker.old.host=old
+worker.old.activation=Disabled
+worker.lb.type=lb
+worker.lb.balance_workers=one
+worker.lb.balance_workers=two,old,lost
+worker.status.type=status
+worker.spare.host=spare
+nonsense
+"""
+APACHE = """\
+ProxyRequests Off
+<Proxy "balancer://declarations">
+    # weights as they were
+    BalancerMember ajp://10.0.0.1:8010 loadfactor=2 route=a
+    BalancerMember "ajp://10.0.0.2" \\
+        secret=s3cret
+    BalancerMember http://10.0.0.3
+    BalancerMember ajp://10.0.0.4 status=+D
+    BalancerMember ajp://10.0.0.5:0
+    ProxySet lbmethod=byrequests
+</Proxy>
+BalancerMember balancer://other ajp://h/app loadfactor=x
+BalancerMember balancer://other ajp://h:9/app
+<Proxy balancer://empty>
+"""
+
+
+def test_workers() -> None:
+    report = Report()
+    found = modjk.read("w", WORKERS, report)
+    members = [(m.host, m.weight, m.secret) for u in found for m in u.members]
+    assert [u.name for u in found] == ["lb"]
+    assert members == [("10.0.0.1:8010", 2.0, ""), ("two.example.org:8010", 0.5, 'a"b')]
+    assert str(report) == """\
+w:3: status has no member left
+w:13: not carried over: worker.two.socket_timeout
+w:15: worker old is out of use and left out
+w:17: no such worker: lost
+w:19: worker status: not an ajp13 worker
+w:20: worker spare is not listed and was left out
+w:21: not a setting: nonsense
+"""
+
+
+def test_balancers() -> None:
+    report = Report()
+    found = apache.read("h", APACHE, report)
+    assert [(u.name, [(m.host, m.weight, m.secret) for m in u.members]) for u in found] == [
+        ("declarations", [("10.0.0.1:8010", 2.0, ""), ("10.0.0.2:8009", 1.0, "s3cret")]),
+        ("other", [("h:9", 1.0, "")])]
+    assert str(report) == """\
+h:1: not carried over: ProxyRequests Off
+h:4: not carried over: route=a
+h:7: not an AJP member: http://10.0.0.3
+h:8: member ajp://10.0.0.4 is out of use and left out: status=+D
+h:9: not a host and port: 10.0.0.5:0
+h:10: not carried over: ProxySet lbmethod=byrequests
+h:12: not a load factor: x
+h:12: not carried over: path /app
+h:13: not carried over: path /app
+h:14: empty has no member left
+h:14: section without its end: balancer://empty
+"""
+
+
+@pytest.mark.parametrize(("text", "said"), [
+    ("worker.list=a\nworker.a.reference=worker.b\nworker.b.reference=worker.a\n", "no such template"),
+    ("worker.list=a\nworker.a.port=99999\n", "not a host and port"),
+    ("worker.list=a b\nworker.a.host=$(who)\n", "unknown variable"),
+    ("worker.lb.type=lb\nworker.lb.balance_workers=a\nworker.a.host=h\n", "worker.list is missing"),
+    ("worker.list=a/b\nworker.a/b.host=h\n", "not a setting")])
+def test_what_is_wrong_in_workers_is_reported(text: str, said: str) -> None:
+    report = Report()
+    modjk.read("w", text, report)
+    assert said in str(report)
+
+
+def test_the_command_writes_a_deployment_file_that_reads(tmp_path: Path) -> None:
+    files = {"workers.properties": WORKERS, "httpd.conf": APACHE}
+    for name, text in files.items():
+        (tmp_path / name).write_text(text)
+    done = subprocess.run([sys.executable, "-m", "saltcart.importer", *(str(tmp_path / n) for n in files)],
+                          capture_output=True, text=True, check=False)
+    assert done.returncode == 1 and len(done.stderr.splitlines()) == 18
+    read = deployment.read(tomllib.loads(done.stdout))
+    assert [u.name for u in read.upstreams] == ["lb", "declarations", "other"]
+    assert deployment.read(tomllib.loads(to_toml(read.upstreams))) == read
