--- /dev/null
+++ b/examples/toy_server.py
@@ -0,0 +1,48 @@
+"""A toy AJP server: answers each POST with its body in capitals, after the work that it pretends to do.
+
+    python examples/toy_server.py [HOST:PORT]
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import sys
+
+from saltcart.wire import ajp
+from saltcart.wire.buffer import Buffer
+from saltcart.wire.errors import Malformed
+
+WORK = 0.1  # seconds
+
+
+async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    buffer, parser = Buffer(), ajp.RequestParser(max_body=65536)
+    try:
+        while data := await reader.read(4096):
+            buffer.write(data)
+            while (message := parser.next(buffer)) is not None:
+                if isinstance(message, ajp.Ping):
+                    writer.write(ajp.CPONG_PACKET)
+                elif isinstance(message, ajp.MoreBody):
+                    writer.write(message.data)
+                else:
+                    await asyncio.sleep(WORK)
+                    print(message.uri.decode(), message.headers.get(b"account", b"-").decode(), flush=True)
+                    writer.write(ajp.response(200, b"OK", [], message.body.upper(), True))
+    except (ConnectionError, Malformed):
+        pass
+    finally:
+        writer.close()
+
+
+async def main(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    server = await asyncio.start_server(serve, host, int(port))
+    print("listening", "{}:{}".format(*server.sockets[0].getsockname()[:2]), flush=True)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(main(sys.argv[1] if len(sys.argv) > 1 else "127.0.0.1:8010"))
--- a/saltcart/__main__.py
+++ b/saltcart/__main__.py
@@ -41,8 +41,13 @@
         print(f"saltcart: {error}", file=sys.stderr)
         return 2
     log = JsonLog()
-    asyncio.run(serve(conf, extra, log))
-    log.close()
+    try:
+        asyncio.run(serve(conf, extra, log))
+    except (config.ConfigError, OSError) as error:  # a state file that can't be read, an address in use
+        print(f"saltcart: {error}", file=sys.stderr)
+        return 2
+    finally:
+        log.close()
     return 0
 
 
--- /dev/null
+++ b/saltcart/admin/api.py
@@ -0,0 +1,190 @@
+"""The API's resources as plain functions of a request; no socket here.
+
+    GET /v1/state                           what the service is doing
+    GET /v1/counts                          answers by tenant, class and verdict
+    GET, POST /v1/tenants                   list, create
+    GET, PUT, PATCH, DELETE /v1/tenants/N   show, replace, change, remove
+    GET, PUT /v1/shares                     all shares at once
+    GET, POST /v1/upstreams                 list, create
+    GET, PUT, DELETE /v1/upstreams/N        show, replace, remove
+"""
+
+from __future__ import annotations
+
+import hmac
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import asdict
+from typing import Any
+
+import orjson
+
+from saltcart.admin.registry import Registry
+from saltcart.core.service import Service
+from saltcart.deployment import MemberConf, read_tenant, read_upstream
+from saltcart.drill import Fields, WireError
+
+Reply = tuple[int, Any]
+
+
+class Problem(Exception):
+    """What is wrong with the request, and the status that says so."""
+
+    def __init__(self, status: int, text: str, **headers: str) -> None:
+        super().__init__(text)
+        self.status, self.headers = status, headers
+
+
+class Api:
+    def __init__(self, service: Service, registry: Registry, token: str) -> None:
+        self.service, self.registry, self.token = service, registry, token.encode()
+        self.routes: dict[str, dict[str, Callable[..., Reply]]] = {
+            "state": {"GET": self.state}, "counts": {"GET": self.counts},
+            "shares": {"GET": self.shares, "PUT": self.put_shares},
+            "tenants": {"GET": self.tenants, "POST": self.post_tenant},
+            "upstreams": {"GET": self.upstreams, "POST": self.post_upstream},
+            "tenants/": {"GET": self.tenant, "PUT": self.put_tenant, "PATCH": self.patch_tenant,
+                         "DELETE": self.delete_tenant},
+            "upstreams/": {"GET": self.upstream, "PUT": self.put_upstream, "DELETE": self.delete_upstream}}
+
+    def handle(self, method: str, target: str, headers: Mapping[bytes, bytes],
+               body: bytes) -> tuple[int, bytes, dict[str, str]]:
+        """Status, JSON and further fields of the answer."""
+        try:
+            self._authorise(headers)
+            status, value = self._dispatch(method, target.partition("?")[0], headers, body)
+            return status, b"" if status == 204 else orjson.dumps(value), {}
+        except Problem as problem:
+            return problem.status, orjson.dumps({"error": str(problem)}), problem.headers
+        except WireError as error:  # a field of the wrong kind, or a whole that can't stand
+            return 422, orjson.dumps({"error": str(error)}), {}
+
+    def _authorise(self, headers: Mapping[bytes, bytes]) -> None:
+        scheme, _, token = headers.get(b"authorization", b"").partition(b" ")
+        if scheme.lower() != b"bearer" or not hmac.compare_digest(token.strip(), self.token):
+            raise Problem(401, "a bearer token is needed", **{"WWW-Authenticate": "Bearer"})
+
+    def _dispatch(self, method: str, path: str, headers: Mapping[bytes, bytes], body: bytes) -> Reply:
+        if not path.startswith("/v1/"):
+            raise Problem(404, "no such resource")
+        kind, slash, name = path.removeprefix("/v1/").partition("/")
+        route = self.routes.get(kind + slash)
+        if route is None or "/" in name or (slash and not name):
+            raise Problem(404, "no such resource")
+        if method not in route:
+            raise Problem(405, f"{method} is not for this resource", Allow=", ".join(route))
+        arguments: list[Any] = [name] if slash else []
+        if method in ("POST", "PUT", "PATCH"):
+            form = headers.get(b"content-type", b"application/json").partition(b";")[0].strip().lower()
+            if form != b"application/json":
+                raise Problem(415, "the body is not application/json")
+            try:
+                value = orjson.loads(body)
+            except orjson.JSONDecodeError as error:
+                raise Problem(400, f"the body is not JSON: {error}") from None
+            if not isinstance(value, dict):
+                raise Problem(400, "the body is not an object")
+            arguments.append(value)
+        return route[method](*arguments)
+
+    # ---- a look at it -------------------------------------------------------------------------
+
+    def state(self) -> Reply:
+        s = self.service
+        return 200, {
+            "healthy": s.healthy, "draining": s.drain_at is not None, "hint": s.hint, "keys": len(s.keys),
+            "requests": Counter(r.state.value for r in s.requests.values()), "gauges": s.gauge_values,
+            "tenants": len(self.registry.tenants), "upstreams": len(self.registry.upstreams)}
+
+    def counts(self) -> Reply:
+        out: dict[str, dict[str, dict[str, int]]] = {}
+        for (tenant, klass, verdict), count in self.service.counts.items():
+            out.setdefault(tenant, {}).setdefault(klass, {})[verdict] = count
+        return 200, out
+
+    # ---- tenants and shares -------------------------------------------------------------------
+
+    def _tenant(self, name: str) -> dict[str, Any]:
+        if name not in self.registry.tenants:
+            raise Problem(404, f"no such tenant: {name}")
+        return asdict(self.registry.tenants[name])
+
+    def tenants(self) -> Reply:
+        return 200, [asdict(t) for t in self.registry.tenants.values()]
+
+    def tenant(self, name: str) -> Reply:
+        return 200, self._tenant(name)
+
+    def post_tenant(self, raw: dict[str, Any]) -> Reply:
+        tenant = read_tenant(raw, "tenant")
+        if tenant.name in self.registry.tenants:
+            raise Problem(409, f"this tenant is there already: {tenant.name}")
+        self.registry.put_tenant(tenant)
+        return 201, asdict(tenant)
+
+    def put_tenant(self, name: str, raw: dict[str, Any]) -> Reply:
+        self._tenant(name)
+        tenant = read_tenant({"name": name, **raw}, "tenant")
+        if tenant.name != name:
+            raise Problem(422, "a tenant's name can't be changed")
+        self.registry.put_tenant(tenant)
+        return 200, asdict(tenant)
+
+    def patch_tenant(self, name: str, raw: dict[str, Any]) -> Reply:
+        return self.put_tenant(name, {**self._tenant(name), **raw})
+
+    def delete_tenant(self, name: str) -> Reply:
+        self._tenant(name)
+        self.registry.remove_tenant(name)
+        return 204, None
+
+    def shares(self) -> Reply:
+        return 200, {t.name: t.share for t in self.registry.tenants.values()}
+
+    def put_shares(self, raw: dict[str, Any]) -> Reply:
+        for name in raw:
+            self._tenant(name)
+        f = Fields(raw, "shares")
+        self.registry.set_shares({name: f.number(name, high=1) for name in raw})
+        return self.shares()
+
+    # ---- upstreams ----------------------------------------------------------------------------
+
+    def _upstream(self, name: str) -> dict[str, Any]:
+        if name not in self.registry.upstreams:
+            raise Problem(404, f"no such upstream: {name}")
+        u = self.registry.upstreams[name]
+        return {"name": u.name, "members": [self._member(m) for m in u.members]}
+
+    @staticmethod
+    def _member(m: MemberConf) -> dict[str, Any]:
+        return {"host": m.host, "weight": m.weight, "has_secret": bool(m.secret)}  # secrets only go in
+
+    def upstreams(self) -> Reply:
+        return 200, [self._upstream(name) for name in self.registry.upstreams]
+
+    def upstream(self, name: str) -> Reply:
+        return 200, self._upstream(name)
+
+    def post_upstream(self, raw: dict[str, Any]) -> Reply:
+        upstream = read_upstream(raw, "upstream")
+        if upstream.name in self.registry.upstreams:
+            raise Problem(409, f"this upstream is there already: {upstream.name}")
+        self.registry.put_upstream(upstream)
+        return 201, self._upstream(upstream.name)
+
+    def put_upstream(self, name: str, raw: dict[str, Any]) -> Reply:
+        self._upstream(name)
+        upstream = read_upstream({"name": name, **raw}, "upstream")
+        if upstream.name != name:
+            raise Problem(422, "an upstream's name can't be changed")
+        self.registry.put_upstream(upstream)
+        return 200, self._upstream(name)
+
+    def delete_upstream(self, name: str) -> Reply:
+        self._upstream(name)
+        users = [t.name for t in self.registry.tenants.values() if t.upstream == name]
+        if users:
+            raise Problem(409, f"this upstream is in use by {', '.join(users)}")
+        self.registry.remove_upstream(name)
+        return 204, None
--- /dev/null
+++ b/saltcart/admin/registry.py
@@ -0,0 +1,95 @@
+"""The tenants and upstreams in force: changed here, checked as a whole, then applied."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterable
+from dataclasses import asdict, replace
+from pathlib import Path
+from typing import Any, TypeVar
+
+import orjson
+
+from saltcart.config import ConfigError
+from saltcart.core.service import Service
+from saltcart.deployment import Deployment, TenantConf, UpstreamConf, check, read_tenant, read_upstream
+from saltcart.drill import WireError
+from saltcart.interface import TenantSpec
+from saltcart.net.upstreams import Upstreams
+
+Named = TypeVar("Named", TenantConf, UpstreamConf)
+
+
+def specs(tenants: Iterable[TenantConf]) -> tuple[TenantSpec, ...]:
+    """The tenants in the module's words."""
+    return tuple(TenantSpec(t.name, t.quota, t.share) for t in tenants)
+
+
+class Registry:
+    """Owns the tenants and upstreams; with ``path`` changes outlive the process."""
+
+    def __init__(self, deployment: Deployment, service: Service, runs: Upstreams | None,
+                 path: Path | None) -> None:
+        self.service, self.runs, self.path = service, runs, path
+        tenants = deployment.tenants or tuple(
+            TenantConf(t.name, t.share, t.quota) for t in service.settings.tenants)
+        self.tenants = {t.name: t for t in tenants}
+        self.upstreams = {u.name: u for u in deployment.upstreams}
+        if path is not None and path.exists():
+            self._restore(path)
+
+    def _restore(self, path: Path) -> None:
+        try:
+            raw = orjson.loads(path.read_bytes())
+            tenants = [read_tenant(t, f"tenant[{n}]") for n, t in enumerate(raw["tenants"])]
+            upstreams = [read_upstream(u, f"upstream[{n}]") for n, u in enumerate(raw["upstreams"])]
+            self._change(tenants, upstreams)
+        except (OSError, ValueError, KeyError, TypeError, WireError) as error:
+            raise ConfigError(f"{path}: {error}") from None
+
+    def put_tenant(self, tenant: TenantConf) -> None:
+        self._change([*self._others(self.tenants, tenant.name), tenant], [*self.upstreams.values()])
+
+    def remove_tenant(self, name: str) -> None:
+        self._change(self._others(self.tenants, name), [*self.upstreams.values()])
+
+    def put_upstream(self, upstream: UpstreamConf) -> None:
+        self._change([*self.tenants.values()], [*self._others(self.upstreams, upstream.name), upstream])
+
+    def remove_upstream(self, name: str) -> None:
+        self._change([*self.tenants.values()], self._others(self.upstreams, name))
+
+    def set_shares(self, shares: dict[str, float]) -> None:
+        """Several shares at once, as they must add up to no more than 1 at every moment."""
+        self._change([replace(t, share=shares.get(t.name, t.share)) for t in self.tenants.values()],
+                     [*self.upstreams.values()])
+
+    @staticmethod
+    def _others(known: dict[str, Named], name: str) -> list[Named]:
+        return [x for x in known.values() if x.name != name]
+
+    def _change(self, tenants: list[TenantConf], upstreams: list[UpstreamConf]) -> None:
+        check(tuple(upstreams), tuple(tenants))  # a change that can't stand leaves all as it was
+        before, self.upstreams = self.upstreams, {u.name: u for u in upstreams}
+        gone, self.tenants = self.tenants.keys() - {t.name for t in tenants}, {t.name: t for t in tenants}
+        if self.runs is not None:
+            for upstream in upstreams:
+                if before.get(upstream.name) != upstream:
+                    self.runs.put(upstream)
+            for name in before.keys() - self.upstreams.keys():
+                self.runs.remove(name)
+            for tenant in tenants:
+                self.runs.assign(tenant.name, tenant.upstream)
+            for name in gone:
+                self.runs.assign(name, None)
+        self.service.set_tenants(specs(tenants))
+        if self.path is not None:
+            self._save(self.path)
+
+    def _save(self, path: Path) -> None:
+        state: dict[str, Any] = {"tenants": [asdict(t) for t in self.tenants.values()],
+                                 "upstreams": [asdict(u) for u in self.upstreams.values()]}
+        draft = path.with_name(path.name + ".new")
+        with open(os.open(draft, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "wb") as file:  # has secrets
+            file.write(orjson.dumps(state, option=orjson.OPT_INDENT_2))
+        os.replace(draft, path)
--- /dev/null
+++ b/saltcart/admin/server.py
@@ -0,0 +1,36 @@
+"""The API on a socket: HTTP/1.1 on a loopback listener of its own."""
+
+from __future__ import annotations
+
+from saltcart.admin.api import Api
+from saltcart.net.listener import Listener, ServerConnection
+from saltcart.wire import http1
+from saltcart.wire.errors import Malformed
+
+MAX_BODY = 65536
+
+
+class AdminConnection(ServerConnection):
+    def __init__(self, listener: Listener, api: Api) -> None:
+        super().__init__(listener, limit=2 * MAX_BODY)
+        self.api, self.parser = api, http1.RequestParser(MAX_BODY)
+
+    def received(self) -> None:
+        self.touch()
+        try:
+            while self.transport is not None and not self.transport.is_closing():
+                request = self.parser.next(self.buffer)
+                if request is None:
+                    return
+                status, body, fields = self.api.handle(
+                    request.method.decode("latin-1"), request.target.decode("latin-1"), request.headers,
+                    request.body)
+                self._write(status, body, fields, request.keep_alive)
+        except Malformed as error:
+            self._write(error.status, b'{"error":"malformed request"}', {}, False)
+
+    def _write(self, status: int, body: bytes, fields: dict[str, str], keep_alive: bool) -> None:
+        kind = {"Content-Type": "application/json"} if body else {}
+        self.send(http1.response(status, body, tuple({**kind, **fields}.items()), not keep_alive))
+        if not keep_alive:
+            self.close()
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -6,15 +6,18 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
+from saltcart.admin.api import Api
+from saltcart.admin.registry import Registry, specs
+from saltcart.admin.server import AdminConnection
 from saltcart.config import Config
 from saltcart.core.ports import Log, Runs
 from saltcart.core.service import Service
 from saltcart.deployment import Deployment
 from saltcart.front.ajp import AjpConnection
 from saltcart.front.http import HttpConnection
-from saltcart.interface import TenantSpec
 from saltcart.net.announcer import Announcer
 from saltcart.net.clock import Ticker
 from saltcart.net.index import IndexClient
@@ -22,6 +25,7 @@
 from saltcart.net.pool import PoolLink
 from saltcart.net.upstreams import Upstreams
 
+ADMIN_IDLE, ADMIN_CONNECTIONS = 30.0, 16
 RESERVE = 64  # descriptors kept for what is not an accepted connection
 
 
@@ -32,10 +36,13 @@
                  clock: Callable[[], float] = time.time) -> None:
         self.conf, self.deployment, self.log = conf, deployment, log
         settings = conf.settings
+        hosted = bool(deployment.tenants or deployment.admin)
         if deployment.tenants:
-            settings = replace(settings, tenants=tuple(
-                TenantSpec(t.name, t.quota, t.share) for t in deployment.tenants))
+            settings = replace(settings, tenants=specs(deployment.tenants))
+        if hosted:  # no tenant spends another's share: what is past its quota is worth nothing
+            settings = replace(settings, over_quota_worth=0.0)
         self.service = Service(settings, conf.gauges, conf.seed, clock, log)
+        self.service.hosted = hosted
         self.listeners: list[Listener] = []
         self.addresses: dict[str, str] = {}
         self.tasks = set[asyncio.Task[Any]]()
@@ -66,6 +73,13 @@
         self.ticker = Ticker(service, loop)
         await self._listen("http", Listener(
             conf.listen, lambda owner: HttpConnection(owner, service), lambda: service.idle_after, most))
+        if (admin := self.deployment.admin) is not None:
+            registry = Registry(self.deployment, service, self.upstreams,
+                                Path(admin.state) if admin.state else None)
+            api = Api(service, registry, admin.token)
+            await self._listen("admin", Listener(
+                admin.listen, lambda owner: AdminConnection(owner, api), lambda: ADMIN_IDLE,
+                ADMIN_CONNECTIONS))
         if (ajp := self.deployment.ajp) is not None:
             secret = ajp.secret.encode()
             await self._listen("ajp", Listener(
--- a/saltcart/config.py
+++ b/saltcart/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +14,7 @@
 from saltcart.drill import Fields, WireError, read_settings
 from saltcart.interface import Settings
 
+PLACE = re.compile(r"([A-Za-z0-9.-]{1,253}):(\d{1,5})\Z")
 GAUGES = ("cpu_busy", "runnable", "mem_used", "sockets")
 
 
@@ -20,6 +22,15 @@
     """The configuration can't be used; the text names the field."""
 
 
+def place(f: Fields, key: str) -> str:
+    """A field that is host:port."""
+    value: str = f.text(key)
+    found = PLACE.match(value)
+    if not found or int(found[2]) > 65535:
+        raise WireError(f"{f.where}: field {key} is not host:port")
+    return value
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -31,23 +42,25 @@
     stop_after: float  # seconds from the notice to the kill
     sockets: int
     settings: Settings
-    gauges: tuple[str, ...]  # names of the pool's gauges, in their order
+    gauges: tuple[str | None, ...]  # names of the pool's gauges, in their order; None for a new one
 
 
 def read_config(raw: Any, environment: Mapping[str, str] = MappingProxyType({})) -> Config:
     """The platform's object; the name and address in the environment come first."""
     try:
         f = Fields(raw, "config")
+        if environment.get("BALANCER_LISTEN"):
+            f = Fields({**f.raw, "listen": environment["BALANCER_LISTEN"]}, "config")
+        pool, announce, index = (
+            None if f.raw.get(key) is None else place(f, key) for key in ("pool", "announce", "index"))
         limits = Fields(f.raw.get("limits") or {}, "config.limits")
         wire = f.part("settings")
         names = wire.part("extra").array("gauges", [])
         seed = f.text("seed", "0")
         return Config(
-            environment.get("BALANCER_NAME") or f.text("name"),
-            environment.get("BALANCER_LISTEN") or f.text("listen"),
-            f.text("pool", None), f.text("announce", None), f.text("index", None), int(seed, 16),
-            f.number("stop_ms", 5000.0) / 1000, limits.integer("sockets", 1024, low=64), read_settings(wire),
-            tuple(g if g in GAUGES else f"other_{n}" for n, g in enumerate(names)))
+            environment.get("BALANCER_NAME") or f.text("name"), place(f, "listen"), pool, announce, index,
+            int(seed, 16), f.number("stop_ms", 5000.0) / 1000, limits.integer("sockets", 1024, low=64),
+            read_settings(wire), tuple(g if g in GAUGES else None for g in names))
     except (WireError, ValueError) as error:
         raise ConfigError(str(error)) from None
 
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -57,7 +57,7 @@
 class Service:
     """One server's requests, keys, timers, health and drain."""
 
-    def __init__(self, settings: i.Settings, gauge_names: tuple[str, ...], seed: int,
+    def __init__(self, settings: i.Settings, gauge_names: tuple[str | None, ...], seed: int,
                  clock: Callable[[], float], log: Log, max_keys: int = 4096) -> None:
         self.settings, self.seed, self.clock, self.log = settings, seed, clock, log
         self.gauge_names, self.gauge_values = gauge_names, dict[str, float]()
@@ -226,7 +226,7 @@
         self.run_ended(ident, i.Outcome.ERROR, 0.0, b"")
 
     def gauges(self, values: tuple[float, ...]) -> None:
-        self.gauge_values = dict(zip(self.gauge_names, values))
+        self.gauge_values = {name: value for name, value in zip(self.gauge_names, values) if name}
 
     def call_ended(self, ident: bytes, outcome: i.Outcome, reply: bytes) -> None:
         r = self.by_ident.get(ident)
--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -14,11 +14,10 @@
 from pathlib import Path
 from typing import Any
 
-from saltcart.config import ConfigError
+from saltcart.config import ConfigError, place
 from saltcart.drill import Fields, WireError
 
 NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
-PLACE = re.compile(r"(127\.\d{1,3}\.\d{1,3}\.\d{1,3}|localhost|[A-Za-z0-9.-]{1,253}):(\d{1,5})\Z")
 DEFAULT = Path(__file__).resolve().parent.parent / "deploy" / "saltcart.toml"
 
 
@@ -32,6 +31,7 @@
 class Admin:
     listen: str
     token: str
+    state: str | None = None  # the file in which changes outlive the process
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,14 +72,6 @@
     return value
 
 
-def place(f: Fields, key: str) -> str:
-    value: str = f.text(key)
-    found = PLACE.match(value)
-    if not found or int(found[2]) > 65535:
-        raise WireError(f"{f.where}: field {key} is not host:port")
-    return value
-
-
 def only(f: Fields, *known: str) -> Fields:
     """A misspelt field must not pass for an absent one."""
     for key in f.raw:
@@ -131,9 +123,9 @@
             if a.flag("enabled", True):
                 ajp = AjpFront(place(a, "listen"), a.text("secret", ""))
         if "admin" in f.raw:
-            a = only(f.part("admin"), "enabled", "listen", "token")
+            a = only(f.part("admin"), "enabled", "listen", "token", "state")
             if a.flag("enabled", True):
-                admin = Admin(place(a, "listen"), a.text("token"))
+                admin = Admin(place(a, "listen"), a.text("token"), a.text("state", None))
                 if len(admin.token) < 16:
                     raise WireError("deployment.admin: field token is shorter than 16 characters")
                 if not admin.listen.startswith(("127.", "localhost:")):
--- a/saltcart/importer/__init__.py
+++ b/saltcart/importer/__init__.py
@@ -9,7 +9,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from saltcart.deployment import NAME, PLACE, MemberConf, UpstreamConf
+from saltcart.config import PLACE
+from saltcart.deployment import NAME, MemberConf, UpstreamConf
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,132 @@
+"""The administration API: over its socket, and its refusals by table."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from saltcart.config import ConfigError
+from saltcart.deployment import Admin, AjpFront, Deployment, read
+from saltcart.wire import ajp
+from tests.standins import AjpServer, HttpClient, container_answer, running
+
+TOKEN = "a-token-long-enough"
+AUTH = f"Bearer {TOKEN}"
+
+
+def deployment(state: Path | None = None) -> Deployment:
+    return Deployment(admin=Admin("127.0.0.1:0", TOKEN, None if state is None else str(state)))
+
+
+async def ask(client: HttpClient, method: str, path: str, value: Any = None,
+              auth: str = AUTH) -> tuple[int, Any]:
+    body = value if isinstance(value, bytes) else b"" if value is None else orjson.dumps(value)
+    client.writer.write(f"{method} {path} HTTP/1.1\r\nAuthorization: {auth}\r\n"
+                        f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    answer = await client.answer()
+    return answer.status, orjson.loads(answer.body) if answer.body else None
+
+
+def test_tenants_and_upstreams_come_change_and_go(tmp_path: Path) -> None:
+    def container(name: bytes) -> AjpServer:
+        async def act(_: ajp.ForwardRequest) -> bytes:
+            return container_answer(200, name)
+        return AjpServer(act)
+
+    async def play() -> None:
+        state = tmp_path / "state.json"
+        async with container(b"one") as one, container(b"two") as two, running(deployment(state)) as app:
+            admin = await HttpClient(app.addresses["admin"]).open()
+            client = await HttpClient(app.addresses["http"]).open()
+            for name, server in (("u1", one), ("u2", two)):
+                members = [{"host": server.address, "secret": "hidden"}]
+                status, shown = await ask(admin, "POST", "/v1/upstreams", {"name": name, "members": members})
+                assert status == 201 and "hidden" not in str(shown)
+            # acme comes with the settings; tenants of their own upstreams see no other's
+            for name, upstream in (("acme", "u1"), ("other", "u2")):
+                call = ("PATCH", "/v1/tenants/acme") if name == "acme" else ("POST", "/v1/tenants")
+                tenant = {"name": name, "share": 0.4, "quota": 50, "upstream": upstream}
+                assert (await ask(admin, *call, tenant))[0] < 300
+            assert (await ask(admin, "GET", "/v1/shares"))[1] == {"acme": 0.4, "other": 0.4}
+            assert (await ask(admin, "PUT", "/v1/shares", {"acme": 0.7, "other": 0.3}))[0] == 200
+            assert (await client.ask(1, account="acme")).body == b"one"
+            assert (await client.ask(2, account="other")).body == b"two"
+            # the same key of two tenants is two requests
+            assert (await client.ask(3, "oddaja", key="k", account="acme")).body == b"one"
+            assert (await client.ask(4, "oddaja", key="k", account="other")).body == b"two"
+            assert (await ask(admin, "GET", "/v1/counts"))[1] == {
+                t: {"read": {"served": 1}, "oddaja": {"served": 1}} for t in ("acme", "other")}
+            assert (await ask(admin, "DELETE", "/v1/upstreams/u2"))[0] == 409
+            assert (await ask(admin, "DELETE", "/v1/tenants/other"))[0] == 204
+            assert (await client.ask(5, account="other")).status == 400
+            assert (await ask(admin, "DELETE", "/v1/upstreams/u2"))[0] == 204
+            status, shown = await ask(admin, "GET", "/v1/state")
+            assert status == 200 and shown["healthy"] and shown["tenants"] == shown["upstreams"] == 1
+        assert state.stat().st_mode & 0o077 == 0  # it holds the secrets
+        async with running(deployment(state)) as app:  # what was changed is there after a restart
+            admin = await HttpClient(app.addresses["admin"]).open()
+            assert (await ask(admin, "GET", "/v1/tenants"))[1] == [
+                {"name": "acme", "share": 0.7, "quota": 50, "upstream": "u1"}]
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(("method", "path", "value", "status"), [
+    ("GET", "/v1/nothing", None, 404), ("GET", "/v2/tenants", None, 404), ("GET", "/v1/tenants/", None, 404),
+    ("GET", "/v1/tenants/none", None, 404), ("DELETE", "/v1/upstreams/none", None, 404),
+    ("PUT", "/v1/tenants/none", {}, 404), ("PUT", "/v1/shares", {"none": 0.1}, 404),
+    ("DELETE", "/v1/tenants", None, 405), ("PATCH", "/v1/upstreams/x", {}, 405),
+    ("POST", "/v1/tenants", b"{", 400), ("POST", "/v1/tenants", [1], 400), ("POST", "/v1/tenants", b"", 400),
+    ("POST", "/v1/tenants", {"name": "acme", "share": 0, "quota": 1}, 409),
+    ("POST", "/v1/tenants", {}, 422), ("POST", "/v1/tenants", {"name": "a b"}, 422),
+    ("POST", "/v1/tenants", {"name": "x", "share": 2}, 422),
+    ("POST", "/v1/tenants", {"name": "x", "quota": -1}, 422),
+    ("POST", "/v1/tenants", {"name": "x", "share": 0.2}, 422),  # with acme's whole share it is more than 1
+    ("POST", "/v1/tenants", {"name": "x", "upstream": "none"}, 422),
+    ("POST", "/v1/tenants", {"name": "x", "huh": 1}, 422),
+    ("PATCH", "/v1/tenants/acme", {"name": "other"}, 422), ("PUT", "/v1/shares", {"acme": "half"}, 422),
+    ("POST", "/v1/upstreams", {"name": "u", "members": []}, 422),
+    ("POST", "/v1/upstreams", {"name": "u", "members": [{"host": "nowhere"}]}, 422),
+    ("POST", "/v1/upstreams", {"name": "u", "members": [{"host": "h:1"}, {"host": "h:1"}]}, 422)])
+def test_bad_input_gets_a_clear_4xx_and_changes_nothing(
+        method: str, path: str, value: Any, status: int) -> None:
+    async def play() -> None:
+        async with running(deployment()) as app:
+            admin = await HttpClient(app.addresses["admin"]).open()
+            before = [await ask(admin, "GET", f"/v1/{kind}") for kind in ("tenants", "upstreams")]
+            got, body = await ask(admin, method, path, value)
+            assert got == status and body["error"]
+            assert before == [await ask(admin, "GET", f"/v1/{kind}") for kind in ("tenants", "upstreams")]
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("auth", ["", "Bearer", "Bearer wrong", f"Basic {TOKEN}", f"Bearer {TOKEN}x"])
+def test_nothing_is_shown_without_the_token(auth: str) -> None:
+    async def play() -> None:
+        async with running(deployment()) as app:
+            admin = await HttpClient(app.addresses["admin"]).open()
+            assert (await ask(admin, "GET", "/v1/tenants", auth=auth))[0] == 401
+            assert (await ask(admin, "DELETE", "/v1/nothing", auth=auth))[0] == 401
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(("raw", "named"), [
+    ({"admin": {"listen": "127.0.0.1:1", "token": "short"}}, "token"),
+    ({"admin": {"listen": "10.0.0.1:1", "token": TOKEN}}, "loopback"),
+    ({"ajp": {"listen": "here"}}, "listen"), ({"ajp": {"listen": "127.0.0.1:1", "port": 2}}, "port"),
+    ({"tenant": [{"name": "a", "upstream": "u"}]}, "upstream"), ({"tennant": []}, "tennant")])
+def test_a_deployment_file_with_faults_is_refused(raw: dict[str, Any], named: str) -> None:
+    with pytest.raises(ConfigError, match=named):
+        read(raw)
+
+
+def test_what_is_not_enabled_is_off() -> None:
+    off = {"enabled": False, "listen": "127.0.0.1:1", "token": ""}
+    assert read({"ajp": {"enabled": False, "listen": "127.0.0.1:1"}, "admin": off}) == Deployment()
+    assert read({"ajp": {"listen": "127.0.0.1:1"}}).ajp == AjpFront("127.0.0.1:1")
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,50 @@
+"""The examples, started as the README says but on free ports."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from pathlib import Path
+
+from tests.standins import AjpClient, HttpClient
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+async def start(*command: str, **env: str) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", *command, cwd=ROOT, stdout=asyncio.subprocess.PIPE, env={**os.environ, **env})
+
+
+def test_the_toy_server_serves_both_fronts(tmp_path: Path) -> None:
+    async def play() -> None:
+        toy = await start("examples.toy_server", "127.0.0.1:0")
+        assert toy.stdout is not None
+        address = (await toy.stdout.readline()).split()[1].decode()
+        config = json.loads((ROOT / "examples" / "config.json").read_text())
+        deployment = (ROOT / "examples" / "saltcart.toml").read_text()
+        for port in ("8009", "8090"):
+            deployment = deployment.replace(f"127.0.0.1:{port}", "127.0.0.1:0")
+        (tmp_path / "config.json").write_text(json.dumps({**config, "listen": "127.0.0.1:0"}))
+        (tmp_path / "saltcart.toml").write_text(deployment.replace("127.0.0.1:8010", address))
+        program = await start("saltcart", BALANCER_CONFIG=str(tmp_path / "config.json"),
+                              SALTCART_DEPLOYMENT=str(tmp_path / "saltcart.toml"))
+        assert program.stdout is not None
+        fronts: dict[str, str] = {}
+        while len(fronts) < 3:
+            line = json.loads(await program.stdout.readline())
+            if line["event"] == "listening":
+                fronts[line["front"]] = line["address"]
+        clients = [await HttpClient(fronts["http"]).open(), await AjpClient(fronts["ajp"]).open()]
+        for n, client in enumerate(clients, 1):
+            answer = await client.ask(n, "oddaja", b"hello", key="k", account="jadran-spedicija")
+            assert (answer.status, answer.body) == (200, b"HELLO")
+        program.kill()
+        toy.kill()
+        out, _ = await toy.communicate()
+        assert out.split() == [b"/call/oddaja", b"jadran-spedicija"]  # one run for both tries
+        await program.communicate()
+
+    asyncio.run(play())
