Close half-sent requests, bound the counts, share the line reader; tests for a silent pool

A connection on which a request stopped coming in half-way was never closed, as a filled buffer counted as busy. Counts were kept by account, which is any name where no tenants are told: they could grow without end. The pool's and the index's links read lines with counted bodies by one reader.

--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -146,7 +146,7 @@
             return
         self._read_clock()
         r.reply = None
-        self.counts[r.ask.account, r.ask.klass, "abandoned"] += 1
+        self._count(r, "abandoned")
         self._feed(i.Abandoned(number))
         self._settle(r)
 
@@ -410,9 +410,14 @@
         reply, r.reply = r.reply, None
         if reply is not None:
             answer.hint = self.hint
-            self.counts[r.ask.account, r.ask.klass, answer.verdict.value] += 1
+            self._count(r, answer.verdict.value)
             reply(answer)
 
+    def _count(self, r: Request, what: str) -> None:
+        # Where no tenants are told an account may be any name: counting each would grow without end.
+        account = r.ask.account if r.ask.account in self.tenant else ""
+        self.counts[account, r.ask.klass, what] += 1
+
     def _entry_held_by(self, r: Request) -> Entry | None:
         return self.keys.by_holder.get(r.number) if r.key is not None else None
 
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -33,7 +33,7 @@
     def __init__(self, listener: Listener, service: Service) -> None:
         super().__init__(listener)
         self.service = service
-        self.open, self.number, self.keep_alive = False, 0, True
+        self.number, self.keep_alive = 0, True
 
     def step(self) -> bool:
         """Read one message and act on it; False while none is whole."""
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -16,6 +16,7 @@
         super().__init__(limit)
         self.listener = listener
         self.used = 0.0
+        self.open = False  # a whole request was read and its answer is owed
 
     def opened(self) -> None:
         self.touch()
@@ -37,6 +38,7 @@
     """Owns the socket; never closed while the service may still be sent requests."""
 
     SWEEP = 0.25
+    PARTIAL = 10.0  # a request that stops coming in half-way holds its connection no longer than this
 
     def __init__(self, listen: str, make: Callable[[Listener], ServerConnection],
                  idle_after: Callable[[], float], most: int) -> None:
@@ -74,7 +76,9 @@
                 min(idle, key=lambda c: c.used).close()
 
     def _sweep(self) -> None:
-        oldest = self.loop.time() - max(self.SWEEP, self.idle_after())
-        for connection in [c for c in self.connections if c.used < oldest and not c.busy()]:
-            connection.close()
+        now = self.loop.time()
+        oldest, stuck = now - max(self.SWEEP, self.idle_after()), now - self.PARTIAL
+        for c in list(self.connections):
+            if (c.used < oldest and not c.busy()) or (c.used < stuck and not c.open):
+                c.close()
         self._again()
--- a/saltcart/wire/http1.py
+++ b/saltcart/wire/http1.py
@@ -139,8 +139,9 @@
              close: bool = False) -> bytes:
     """One answer as bytes."""
     extra = "".join(f"{name}: {value}\r\n" for name, value in headers)
-    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
-        status, REASONS.get(status, b"Unknown"), extra.encode("latin-1"), len(body),
+    length = b"" if status == 204 else b"Content-Length: %d\r\n" % len(body)
+    return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n%b" % (
+        status, REASONS.get(status, b"Unknown"), extra.encode("latin-1"), length,
         b"Connection: close\r\n" if close else b"", body)
 
 
--- a/saltcart/wire/index.py
+++ b/saltcart/wire/index.py
@@ -7,8 +7,8 @@
 
 from saltcart.wire.buffer import Buffer
 from saltcart.wire.errors import Malformed
+from saltcart.wire.lines import LineReader, number
 
-MAX_LINE, MAX_BODY = 1024, 16384
 ENDS = (b"HIT", b"SHED", b"BROKEN", b"SLOW", b"NOBODY")
 
 
@@ -31,31 +31,15 @@
 
 class ReplyParser:
     def __init__(self) -> None:
-        self.head: tuple[bytes, int] | None = None  # of a HIT whose body is not whole yet
+        self.reader = LineReader(self._length)
+
+    @staticmethod
+    def _length(words: list[bytes]) -> int | None:
+        if len(words) < 2 or words[1] not in ENDS:
+            raise Malformed("no such reply")
+        return number(words, 2) if words[1] == b"HIT" else None
 
     def messages(self, buffer: Buffer) -> Iterator[Reply]:
-        while True:
-            if self.head is None:
-                try:
-                    text = buffer.line(MAX_LINE)
-                except ValueError as error:
-                    raise Malformed(str(error)) from None
-                if text is None:
-                    return
-                words = text.split(b" ")
-                if len(words) < 2 or words[1] not in ENDS:
-                    raise Malformed("no such reply")
-                if words[1] != b"HIT":
-                    yield Reply(words[0], words[1], b"")
-                    continue
-                if len(words) != 3 or not words[2].isdigit() or not int(words[2][:9]) <= MAX_BODY:
-                    raise Malformed("length")
-                self.head = words[0], int(words[2])
-            ident, length = self.head
-            if len(buffer) < length + 2:
-                return
-            body = buffer.take(length)
-            if buffer.take(2) != b"\r\n":
-                raise Malformed("body without its end")
-            self.head = None
-            yield Reply(ident, b"HIT", body)
+        while (found := self.reader.next(buffer)) is not None:
+            words, body = found
+            yield Reply(words[0], words[1], body)
--- /dev/null
+++ b/saltcart/wire/lines.py
@@ -0,0 +1,51 @@
+"""Lines of words, some followed by a counted body: what the pool's and the index's links share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from saltcart.wire.buffer import Buffer
+from saltcart.wire.errors import Malformed
+
+MAX_LINE, MAX_BODY = 1024, 16384
+
+
+def number(words: list[bytes], at: int) -> int:
+    if len(words) <= at or not words[at].isdigit() or len(words[at]) > 18:
+        raise Malformed(f"{words[0][:20]!r}: field {at} is not a number")
+    return int(words[at])
+
+
+class LineReader:
+    """``length_of`` gives the length of the body that follows a line, or None where none does."""
+
+    def __init__(self, length_of: Callable[[list[bytes]], int | None]) -> None:
+        self.length_of = length_of
+        self.reset()
+
+    def reset(self) -> None:
+        self.words: list[bytes] | None = None  # of a line whose body is not whole yet
+        self.length: int | None = None
+
+    def next(self, buffer: Buffer) -> tuple[list[bytes], bytes] | None:
+        """The next line with its body, once both are whole."""
+        if self.words is None:
+            try:
+                line = buffer.line(MAX_LINE)
+            except ValueError as error:
+                raise Malformed(str(error)) from None
+            if line is None:
+                return None
+            self.words = line.split(b" ")
+            self.length = self.length_of(self.words)
+            if self.length is not None and self.length > MAX_BODY:
+                raise Malformed("body too long")
+        body = b""
+        if self.length is not None:
+            if len(buffer) < self.length + 2:
+                return None
+            body = buffer.take(self.length)
+            if buffer.take(2) != b"\r\n":
+                raise Malformed("body without its end")
+        words, self.words = self.words, None
+        return words, body
--- a/saltcart/wire/pool.py
+++ b/saltcart/wire/pool.py
@@ -13,8 +13,7 @@
 
 from saltcart.wire.buffer import Buffer
 from saltcart.wire.errors import Malformed
-
-MAX_LINE, MAX_BODY = 1024, 16384
+from saltcart.wire.lines import LineReader, number
 
 
 class Bound(NamedTuple):
@@ -77,15 +76,15 @@
         self.mark = 0  # polls sent so far
         self.pending: deque[Command] = deque()
         self.calls: dict[bytes, int] = {}  # notice of the call that each run waits for
-        self.line: list[bytes] | None = None
-        self.length = 0
+        self.reader = LineReader(self._length)
         self.barrier = 0
 
     # ---- sending ------------------------------------------------------------------------------
 
     def connected(self) -> bytes:
         """The link is new: what to send first."""
-        self.up, self.line, self.barrier = False, None, 0
+        self.up, self.barrier = False, 0
+        self.reader.reset()
         return b"bind %d\r\n" % self.last
 
     def lost(self) -> None:
@@ -124,36 +123,14 @@
 
     def messages(self, buffer: Buffer) -> Iterator[Message | bytes]:
         """What has come in whole; a ``bytes`` item is to be sent at once."""
-        while True:
-            if self.line is None:
-                try:
-                    text = buffer.line(MAX_LINE)
-                except ValueError as error:
-                    raise Malformed(str(error)) from None
-                if text is None:
-                    return
-                words = text.split(b" ")
-                self.length = -1
-                if words[0] in (b"finished", b"blocked"):
-                    self.length = self._number(words, 5 if words[0] == b"finished" else 3)
-                    if self.length > MAX_BODY:
-                        raise Malformed("body too long")
-                self.line = words
-            body = b""
-            if self.length >= 0:
-                if len(buffer) < self.length + 2:
-                    return
-                body = buffer.take(self.length)
-                if buffer.take(2) != b"\r\n":
-                    raise Malformed("body without its end")
-            words, self.line = self.line, None
-            yield from self._message(words, body)
+        while (found := self.reader.next(buffer)) is not None:
+            yield from self._message(*found)
 
     @staticmethod
-    def _number(words: list[bytes], at: int) -> int:
-        if len(words) <= at or not words[at].isdigit() or len(words[at]) > 18:
-            raise Malformed(f"{words[0][:20]!r}: field {at} is not a number")
-        return int(words[at])
+    def _length(words: list[bytes]) -> int | None:
+        if words[0] not in (b"finished", b"blocked"):
+            return None
+        return number(words, 5 if words[0] == b"finished" else 3)
 
     @staticmethod
     def _real(words: list[bytes], at: int) -> float:
@@ -165,18 +142,18 @@
     def _message(self, words: list[bytes], body: bytes) -> Iterator[Message | bytes]:
         verb = words[0]
         if verb in (b"finished", b"blocked"):
-            number, ident = self._number(words, 1), words[2]
-            if number <= self.last:  # applied already: the replay of a new link overlaps what was read
+            notice, ident = number(words, 1), words[2]
+            if notice <= self.last:  # applied already: the replay of a new link overlaps what was read
                 return
-            self.last = number
+            self.last = notice
             if verb == b"blocked":
-                self.calls[ident] = number
-                yield Blocked(ident, number, body)
+                self.calls[ident] = notice
+                yield Blocked(ident, notice, body)
             else:
                 self.calls.pop(ident, None)
                 yield Finished(ident, words[3], self._real(words, 4) / 1000, body)
         elif verb == b"polled":
-            tag = self._number(words, 1)
+            tag = number(words, 1)
             while self.pending and self.pending[0].mark < tag:
                 if not self.up and self.barrier == tag:
                     break
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -191,6 +191,14 @@
     assert w.service.controller.begun == w.now - 2.0
 
 
+def test_accounts_that_nobody_told_are_not_counted_one_by_one() -> None:
+    w = World(replace(SETTINGS, tenants=()))
+    for n in range(1, 9):
+        w.arrive(n, "read", account=f"who{n}")
+        w.end(n)
+    assert w.service.counts == {("", "read", "served"): 8}
+
+
 def test_a_timer_uses_the_gauges_it_has() -> None:
     w = World()
     w.service.gauges((0.25, 7.0, 3.0, 9.0))  # a gauge of an unknown name is no argument of the event
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from saltcart.net.listener import Listener
 from tests.standins import HttpClient, Pool, Server, raw_config, running, until
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -144,6 +145,41 @@
     asyncio.run(play())
 
 
+def test_a_silent_pool_costs_no_answer() -> None:
+    """One final answer by the due time, whatever the pool does; refusals say when to come back."""
+    async def play() -> None:
+        async with Pool(auto=False) as pool, running(pool=pool.address) as app:
+            clients = [await HttpClient(app.addresses["http"]).open() for _ in range(120)]
+            answers = await asyncio.gather(*(
+                c.ask(n, "oddaja" if n % 2 else "read", key=f"k{n}", budget="800")
+                for n, c in enumerate(clients, 1)))
+            assert {a.status for a in answers} <= {500, 503}
+            assert all(b"back-off-ms" in a.headers for a in answers if a.status == 503)
+            # No death by crowding: never more on the cores than they survive, though nothing ever ends.
+            assert 2 <= len(pool.spawned) <= 2 * 8
+            assert sum(a.status == 500 for a in answers) >= len(pool.spawned)  # what has run is never refused
+            assert not any(len(c.buffer) for c in clients)  # one answer each
+
+    asyncio.run(play())
+
+
+def test_idle_and_half_sent_connections_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Listener, "PARTIAL", 0.05)
+
+    async def play() -> None:
+        async with Pool(auto=False) as pool, running(pool=pool.address) as app:
+            idle, half, busy = [await HttpClient(app.addresses["http"]).open() for _ in range(3)]
+            half.writer.write(b"POST /call/read HT")
+            busy.send(1)
+            await until(lambda: len(pool.spawned) == 1)
+            app.service.idle_after = 0.3
+            assert await half.reader.read() == b"" and await idle.reader.read() == b""
+            pool.finish(pool.spawned[0])
+            assert (await busy.answer()).status == 200
+
+    asyncio.run(play())
+
+
 # ---- the program ------------------------------------------------------------------------------
 
 
