Property test of the core's rules; a removed upstream gives its connections back

A run that ended after its upstream was removed put its connection among the idle ones, where nobody closed it.

--- a/saltcart/admin/api.py
+++ b/saltcart/admin/api.py
@@ -21,7 +21,7 @@
 
 from saltcart.admin.registry import Registry
 from saltcart.core.service import Service
-from saltcart.deployment import MemberConf, read_tenant, read_upstream
+from saltcart.deployment import read_tenant, read_upstream
 from saltcart.drill import Fields, WireError
 
 Reply = tuple[int, Any]
@@ -153,12 +153,11 @@
     def _upstream(self, name: str) -> dict[str, Any]:
         if name not in self.registry.upstreams:
             raise Problem(404, f"no such upstream: {name}")
-        u = self.registry.upstreams[name]
-        return {"name": u.name, "members": [self._member(m) for m in u.members]}
-
-    @staticmethod
-    def _member(m: MemberConf) -> dict[str, Any]:
-        return {"host": m.host, "weight": m.weight, "has_secret": bool(m.secret)}  # secrets only go in
+        u, runs = self.registry.upstreams[name], self.registry.runs
+        under_way = {} if runs is None else runs.open_runs(name)
+        return {"name": u.name, "members": [  # secrets only go in
+            {"host": m.host, "weight": m.weight, "has_secret": bool(m.secret),
+             "open": under_way.get(m.host, 0)} for m in u.members]}
 
     def upstreams(self) -> Reply:
         return 200, [self._upstream(name) for name in self.registry.upstreams]
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -101,5 +101,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.upstreams is not None:
+            self.upstreams.close()
         if self.ticker is not None:
             self.ticker.close()
--- a/saltcart/net/ajp.py
+++ b/saltcart/net/ajp.py
@@ -83,6 +83,7 @@
                  log: Log) -> None:
         self.members, self.ended, self.log = members, ended, log
         self.tasks: dict[bytes, asyncio.Task[None]] = {}
+        self.closed = False
 
     def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
         if ident not in self.tasks:
@@ -97,7 +98,8 @@
             task.cancel()
 
     def close(self) -> None:
-        """Give back the connections that carry nothing."""
+        """Give back the connections that carry nothing; the others go when their runs end."""
+        self.closed = True
         for member in self.members:
             for connection in list(member.idle):
                 connection.close()
@@ -162,7 +164,7 @@
                 data + (ajp.body_packet(body[:ajp.MAX_DATA]) if body else b""), max(0.0, left))
             if not isinstance(answer, ajp.Response):
                 raise ConnectionResetError("a pong in the place of an answer")
-            if answer.reuse and not connection.body and connection.transport is not None:
+            if answer.reuse and not (self.closed or connection.body or connection.transport is None):
                 member.idle.append(connection)
                 connection = None
             return answer
--- a/saltcart/net/upstreams.py
+++ b/saltcart/net/upstreams.py
@@ -33,6 +33,14 @@
     def remove(self, name: str) -> None:
         self.by_name.pop(name).close()
 
+    def open_runs(self, name: str) -> dict[str, int]:
+        """Requests under way, by member."""
+        return {m.host: m.open for m in self.by_name[name].members}
+
+    def close(self) -> None:
+        for upstream in self.by_name.values():
+            upstream.close()
+
     def assign(self, tenant: str, upstream: str | None) -> None:
         if upstream is None:
             self.by_tenant.pop(tenant, None)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -61,6 +61,8 @@
             assert (await ask(admin, "GET", "/v1/counts"))[1] == {
                 t: {"read": {"served": 1}, "oddaja": {"served": 1}} for t in ("acme", "other")}
             assert (await ask(admin, "DELETE", "/v1/upstreams/u2"))[0] == 409
+            assert (await ask(admin, "GET", "/v1/upstreams/u2"))[1]["members"] == [
+                {"host": two.address, "weight": 1.0, "has_secret": True, "open": 0}]
             assert (await ask(admin, "DELETE", "/v1/tenants/other"))[0] == 204
             assert (await client.ask(5, account="other")).status == 400
             assert (await ask(admin, "DELETE", "/v1/upstreams/u2"))[0] == 204
--- /dev/null
+++ b/tests/test_core_rules.py
@@ -0,0 +1,107 @@
+"""Property test of the core: any history of callers, pool, calls and links keeps the rules on every front."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from hypothesis import given, settings, strategies as st
+
+from saltcart import interface as i
+from tests.fakes import ONCE, SETTINGS, World
+
+
+class History(World):
+    """A world that checks each thing the core does at the moment it does it."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(replace(SETTINGS, max_stay_away=1.0))
+        self.rng, self.number, self.drained = random.Random(seed), 0, float("inf")
+        self.reached: dict[bytes, float] = {}
+        self.due: dict[bytes, float] = {}
+        self.key: dict[bytes, bytes] = {}
+        self.gone = set[bytes]()
+        self.ran: dict[bytes, list[float]] = {}  # by key: when the tries that ran had come
+        self.started = set[bytes]()
+        self.waiting = set[bytes]()  # runs that wait for a call
+        self.under_way = set[bytes]()
+
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
+        assert ident not in self.started, "spawned twice"
+        assert not self.answers[ident], "run after its answer"
+        assert self.reached[ident] <= self.drained + SETTINGS.drain_grace, "run too late in a drain"
+        if once:
+            for before in self.ran.setdefault(self.key[ident], []):
+                assert self.reached[ident] > before + ONCE.window, "effect twice"
+            self.ran[self.key[ident]].append(self.reached[ident])
+        self.started.add(ident)
+        self.under_way.add(ident)
+
+    def call(self, ident: bytes, limit: float, body: bytes) -> None:
+        assert ident in self.waiting and limit > 0, "a call that no run waits for"
+
+    def supply(self, ident: bytes, reply: bytes) -> None:
+        self.waiting.remove(ident)
+
+    def skip(self, ident: bytes, notice: int) -> None:
+        assert ident not in self.key, "a call left out that must not be"
+        self.waiting.remove(ident)
+
+    def check(self) -> None:
+        for ident, answers in self.answers.items():
+            assert len(answers) <= 1, "answered twice"
+            late = self.now > self.due[ident] + SETTINGS.answer_slack
+            assert answers or ident in self.gone or not late, "lost"
+            if answers and ident in self.started and ident in self.key:
+                assert answers[0].verdict.value != "refused", "refused once run"
+
+    def act(self) -> None:
+        what, rng = self.rng.random(), self.rng
+        if what < 0.45:
+            self.number += 1
+            ident = b"%016x" % self.number
+            self.reached[ident] = self.now - rng.choice([0.0, 0.01, 0.3])
+            budget = rng.choice([0.4, 1.5, 3.0])
+            self.due[ident] = max(self.now, self.reached[ident] + budget)
+            keyed = rng.random() < 0.5
+            if keyed:
+                self.key[ident] = b"%d" % rng.randrange(6)
+            self.arrive(self.number, "oddaja" if keyed else "read", self.key.get(ident),
+                        received=self.reached[ident], budget=budget, standing=rng.random())
+        elif what < 0.55 and self.service.requests:
+            r = rng.choice(list(self.service.requests.values()))
+            self.gone.add(r.ask.ident)
+            self.service.abandon(r.number)
+        elif what < 0.65 and self.waiting:
+            ident = rng.choice(sorted(self.waiting))
+            self.service.call_ended(ident, rng.choice(list(i.Outcome)), b"reply")
+        elif what < 0.75 and self.under_way - self.waiting:
+            ident = rng.choice(sorted(self.under_way - self.waiting))
+            self.waiting.add(ident)
+            self.service.run_blocked(ident, self.number, b"question")
+        elif self.under_way:
+            ident = rng.choice(sorted(self.under_way))
+            self.under_way.discard(ident)
+            if rng.random() < 0.1:
+                self.service.run_lost(ident)
+            else:
+                how = [i.Outcome.OK] * 5 + [i.Outcome.ERROR, i.Outcome.CANCELLED, i.Outcome.MOOT]
+                self.service.run_ended(ident, rng.choice(how), 0.1, b"result")
+            self.waiting.discard(ident)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, database=None)
+@given(st.integers(0, 10**6))
+def test_any_history_keeps_the_rules(seed: int) -> None:
+    h = History(seed)
+    for n in range(400):
+        h.act()
+        h.until(h.now + h.rng.choice([0.0, 0.004, 0.02, 0.1]))
+        h.check()
+        if n == 330:
+            h.drained = h.now
+            h.service.leave(4.0)
+    h.until(h.drained + 4.0)
+    assert all(h.answers[ident] or ident in h.gone for ident in h.answers), "unanswered at the stop"
+    h.until(h.now + 20.0)
+    assert not h.service.keys.by_holder.keys() - {e.holder for e in h.service.keys.entries.values()}
