A run stopped before its first step ends too

A forward request that was cancelled in the turn in which it was spawned never ran its task's body, so its end was told to nobody and it held a slot until it was written off.

--- a/saltcart/net/ajp.py
+++ b/saltcart/net/ajp.py
@@ -90,7 +90,7 @@
             task = asyncio.get_running_loop().create_task(
                 self._run(ident, klass, account, body, once, within))
             self.tasks[ident] = task
-            task.add_done_callback(lambda _: self.tasks.pop(ident, None))
+            task.add_done_callback(lambda done: self._done(ident, done))
 
     def suspend(self, ident: bytes) -> None:
         """AJP has no pause: the run is given up and its connection closed."""
@@ -104,6 +104,14 @@
             for connection in list(member.idle):
                 connection.close()
 
+    def _done(self, ident: bytes, task: asyncio.Task[None]) -> None:
+        self.tasks.pop(ident, None)
+        if task.cancelled():  # before its first step: nobody has told of its end
+            self.ended(ident, Outcome.CANCELLED, 0.0, b"")
+        elif (error := task.exception()) is not None:
+            self.log("error", id=ident.decode(), error=repr(error))
+            self.ended(ident, Outcome.ERROR, 0.0, b"")
+
     # ---- one run ------------------------------------------------------------------------------
 
     async def _run(self, ident: bytes, klass: str, account: str, body: bytes, once: bool,
@@ -117,7 +125,6 @@
             pass  # its caller's time is over; the run may have had its effect
         except asyncio.CancelledError:
             outcome = Outcome.CANCELLED
-        self.tasks.pop(ident, None)
         self.ended(ident, outcome, loop.time() - begun, result)
 
     async def _try_members(self, ident: bytes, klass: str, account: str, body: bytes, once: bool,
--- a/tests/test_ajp.py
+++ b/tests/test_ajp.py
@@ -7,6 +7,8 @@
 import pytest
 
 from saltcart.deployment import AjpFront, Deployment, MemberConf, UpstreamConf
+from saltcart.interface import Outcome
+from saltcart.net.ajp import AjpUpstream, Member
 from saltcart.wire import ajp
 from tests.standins import AjpClient, AjpServer, HttpClient, Pool, container_answer, running, until
 
@@ -135,6 +137,18 @@
     asyncio.run(play())
 
 
+def test_a_run_that_is_stopped_before_its_first_step_ends_too() -> None:
+    async def play() -> None:
+        ended = list[tuple[bytes, Outcome]]()
+        up = AjpUpstream([Member("127.0.0.1:9")], lambda ident, how, *_: ended.append((ident, how)),
+                         lambda *_, **__: None)
+        up.spawn(b"a", "read", "acme", b"", False, 1.0)
+        up.suspend(b"a")
+        await until(lambda: ended == [(b"a", Outcome.CANCELLED)] and not up.tasks)
+
+    asyncio.run(play())
+
+
 def test_an_upstream_that_is_silent_costs_no_more_than_the_callers_time() -> None:
     async def hang(_: ajp.ForwardRequest) -> bytes | None:
         await asyncio.Event().wait()
