--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -18,6 +18,7 @@
 from saltcart.drill import Fields, WireError
 
 NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
+LOOPBACK = re.compile(r"(127(\.\d{1,3}){3}|localhost):")
 DEFAULT = Path(__file__).resolve().parent.parent / "deploy" / "saltcart.toml"
 
 
@@ -122,13 +123,15 @@
             a = only(f.part("ajp"), "enabled", "listen", "secret")
             if a.flag("enabled", True):
                 ajp = AjpFront(place(a, "listen"), a.text("secret", ""))
+                if not ajp.secret and not LOOPBACK.match(ajp.listen):
+                    raise WireError("deployment.ajp: off the loopback addresses a secret is needed")
         if "admin" in f.raw:
             a = only(f.part("admin"), "enabled", "listen", "token", "state")
             if a.flag("enabled", True):
                 admin = Admin(place(a, "listen"), a.text("token"), a.text("state", None))
                 if len(admin.token) < 16:
                     raise WireError("deployment.admin: field token is shorter than 16 characters")
-                if not admin.listen.startswith(("127.", "localhost:")):
+                if not LOOPBACK.match(admin.listen):
                     raise WireError("deployment.admin: field listen is not a loopback address")
         upstreams = tuple(read_upstream(u, f"upstream[{n}]") for n, u in enumerate(f.array("upstream", [])))
         tenants = tuple(read_tenant(t, f"tenant[{n}]") for n, t in enumerate(f.array("tenant", [])))
--- a/saltcart/wire/ajp.py
+++ b/saltcart/wire/ajp.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import hmac
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -209,7 +210,7 @@
 
     def _forward(self, p: Payload) -> ForwardRequest | MoreBody | None:
         request = read_forward(p)
-        if self.secret and request.attributes.get("secret", b"") != self.secret:
+        if self.secret and not hmac.compare_digest(request.attributes.get("secret", b""), self.secret):
             raise Malformed("secret", 403)
         length = request.headers.get(b"content-length", b"0")
         if not length.isdigit() or len(length) > 9:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -121,6 +121,8 @@
 @pytest.mark.parametrize(("raw", "named"), [
     ({"admin": {"listen": "127.0.0.1:1", "token": "short"}}, "token"),
     ({"admin": {"listen": "10.0.0.1:1", "token": TOKEN}}, "loopback"),
+    ({"admin": {"listen": "127.example.org:1", "token": TOKEN}}, "loopback"),
+    ({"ajp": {"listen": "10.0.0.1:1"}}, "secret"),
     ({"ajp": {"listen": "here"}}, "listen"), ({"ajp": {"listen": "127.0.0.1:1", "port": 2}}, "port"),
     ({"tenant": [{"name": "a", "upstream": "u"}]}, "upstream"), ({"tennant": []}, "tennant")])
 def test_a_deployment_file_with_faults_is_refused(raw: dict[str, Any], named: str) -> None:
