A fault of the module or of one timer no longer stops the service's timers

Found by reading: an exception in Controller.handle on Woken left its Wake unarmed, so nothing was swept again; one in Timers.run lost every timer that was due in the same turn.

--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -21,6 +21,7 @@
 CALL_SLACK = 0.25  # a call that gets no reply in its time is given up this much later
 STOP_MARGIN = 0.12  # everything is answered this long before the process is stopped
 UNSERVED_BACK_OFF = 0.25  # where the core itself refuses: no pool yet, or no room for a key
+AFTER_FAULT = 0.1  # the module's timer rings again this long after a fault in it
 LOST_GRACE = 2.0  # an answered run that was told to stop and is not heard of is taken off the books
 
 
@@ -253,11 +254,21 @@
         self.busy = True
         try:
             while self.events:
-                for action in self.controller.handle(self.now, self.events.popleft()):
+                for action in self._decide(self.controller, self.events.popleft()):
                     self.actions[type(action)](action)
         finally:
             self.busy = False
 
+    def _decide(self, controller: Controller, event: i.Event) -> list[i.Action]:
+        """A fault of the module costs one event, not the service: the due guard answers, timers go on."""
+        try:
+            return controller.handle(self.now, event)
+        except Exception as error:
+            self.log("module-fault", on=type(event).__name__, error=repr(error))
+            if isinstance(event, i.Woken):
+                self.timers.at(self.now + AFTER_FAULT, self._ring, event.token)
+            return []
+
     def _run(self, a: i.Run) -> None:
         r = self.requests.get(a.id)
         if r is None or r.reply is None or r.state in (State.JOINED, State.BLOCKED, State.CALLING):
--- a/saltcart/core/timers.py
+++ b/saltcart/core/timers.py
@@ -28,5 +28,10 @@
         due = []
         while self.heap and self.heap[0][0] <= now:
             due.append(heapq.heappop(self.heap))
-        for _, _, call, args in due:
-            call(*args)
+        for n, (_, _, call, args) in enumerate(due):
+            try:
+                call(*args)
+            except BaseException:
+                for entry in due[n + 1:]:  # one that fails must not take the others with it
+                    heapq.heappush(self.heap, entry)
+                raise
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,6 +9,7 @@
 from saltcart import interface as i
 from saltcart.core.keys import KeyTable
 from saltcart.core.service import Unacceptable
+from saltcart.core.timers import Timers
 from tests.fakes import SETTINGS, World
 
 
@@ -199,6 +200,36 @@
     assert w.service.counts == {("", "read", "served"): 8}
 
 
+def test_a_fault_of_the_module_costs_one_event_only() -> None:
+    w = World()
+    assert w.service.controller is not None
+    handle, faults = w.service.controller.handle, [i.Woken, i.Arrived]
+
+    def faulty(now: float, event: i.Event) -> list[i.Action]:
+        if type(event) in faults:
+            faults.remove(type(event))
+            raise ZeroDivisionError
+        return handle(now, event)
+
+    w.service.controller.handle = faulty  # type: ignore[method-assign]
+    w.arrive(1, "read")
+    w.until(w.now + 3.1)
+    assert w.verdicts(1) == ["failed"] and w.logged.count("module-fault") == 2
+    w.arrive(2, "read")
+    w.until(w.now + 2.5)  # the timer rings on: the run that hangs is answered by the module itself
+    assert w.verdicts(2) == ["failed"] and w.logged.count("overdue") == 1
+
+
+def test_a_timer_that_fails_does_not_take_the_others_with_it() -> None:
+    timers, rung = Timers(), list[int]()
+    timers.at(1.0, lambda: [][0])
+    timers.at(1.0, rung.append, 2)
+    with pytest.raises(IndexError):
+        timers.run(1.0)
+    timers.run(1.0)
+    assert rung == [2] and timers.next_due() is None
+
+
 def test_a_timer_uses_the_gauges_it_has() -> None:
     w = World()
     w.service.gauges((0.25, 7.0, 3.0, 9.0))  # a gauge of an unknown name is no argument of the event
