--- a/saltcart/wire/pool.py
+++ b/saltcart/wire/pool.py
@@ -96,7 +96,9 @@
 
     def spawn(self, ident: bytes, klass: bytes, body: bytes, once: bool) -> bytes:
         data = b"spawn %b %b %d\r\n%b\r\n" % (ident, klass, len(body), body)
-        return self._command(b"spawn", ident, data, once)
+        sent = self._command(b"spawn", ident, data, once)
+        # A run that must not start twice is asked after at once: until then a lost link leaves it in doubt.
+        return sent + self.poll() if once else sent
 
     def suspend(self, ident: bytes) -> bytes:
         return self._command(b"suspend", ident, b"suspend %b\r\n" % ident)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -177,10 +177,11 @@
     assert all(sent)
     session.lost()
     assert session.spawn(b"l", b"c", b"x", True) == b""  # never written: it may be sent later
+    assert sent[1].endswith(b"poll 3\r\n")  # asked after at once
     assert session.connected() == b"bind 1\r\n"
-    assert hears(b"bound EMPTY 9\r\n") == [pool.Bound(False, 0.009), b"poll 3\r\n"]
+    assert hears(b"bound EMPTY 9\r\n") == [pool.Bound(False, 0.009), b"poll 4\r\n"]
     # Run a stands at a second call already, so the reply to its first must not be given to that one.
-    out = hears(b"blocked 2 a 0\r\n\r\npolled 3\r\n")
+    out = hears(b"blocked 2 a 0\r\n\r\npolled 4\r\n")
     assert out == [
         pool.Blocked(b"a", 2, b""), sent[0], pool.Lost(b"k"), b"spawn l c 1\r\nx\r\n", pool.Polled(())]
 
