Follow SIGHUP to new addresses; hold every field and key to its request

Lines at fault: front/fields.py took ranks of 1, any footprint and any time of arrival; core/service.py let a try with a known key and another body, or a used id, join the first one's run.

SIGHUP reads the file again and moves pool, index and announce links; pool notices go on by number. A bad file is logged and changes nothing. A hangup before the handlers stand is kept and followed then. A run proved never to have begun leaves its key free. Content-Length with Transfer-Encoding gets 400 on both fronts.

--- a/saltcart/__main__.py
+++ b/saltcart/__main__.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
-import gc
 import signal
-import sys
 
-from saltcart import config, deployment
-from saltcart.app import App
-from saltcart.log import JsonLog
+# A SIGHUP that comes while the program still starts must not end it: it is kept, and followed once it runs.
+HANGUPS: list[int] = []
+signal.signal(signal.SIGHUP, lambda number, _: HANGUPS.append(number))
+
+import asyncio  # noqa: E402
+import gc  # noqa: E402
+import sys  # noqa: E402
+
+from saltcart import config, deployment  # noqa: E402
+from saltcart.app import App  # noqa: E402
+from saltcart.log import JsonLog  # noqa: E402
 
 LINGER = 1.0  # the process ends by itself this long after it should have been stopped
 
@@ -24,11 +29,20 @@
         app.leave()
         loop.call_later(conf.stop_after + LINGER, ended.set)
 
+    def reload() -> None:
+        try:
+            app.reload(config.load())
+        except Exception as error:  # whatever a file may hold, a running service outlives it
+            log("reload-failed", error=str(error))
+
     for sign in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sign, leave)
     await app.start()
     gc.collect()
     gc.freeze()  # what lives as long as the process need not be looked at again
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    if HANGUPS:
+        reload()
     await ended.wait()
     log("stopped", counts={" ".join(key): count for key, count in app.service.counts.items()})
     await app.close()
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -7,12 +7,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
 from saltcart.admin.api import Api
 from saltcart.admin.registry import Registry, specs
 from saltcart.admin.server import AdminConnection
-from saltcart.config import Config
+from saltcart.config import Config, ConfigError
 from saltcart.core.ports import Log, Runs
 from saltcart.core.service import Service
 from saltcart.deployment import Deployment
@@ -45,7 +44,9 @@
         self.service.hosted = hosted
         self.listeners: list[Listener] = []
         self.addresses: dict[str, str] = {}
-        self.tasks = set[asyncio.Task[Any]]()
+        self.announcer: Announcer | None = None
+        self.index: IndexClient | None = None
+        self.pool: PoolLink | None = None
         self.upstreams: Upstreams | None = None
         self.runs: Runs | None = None  # set before the start: in the place of a pool or upstreams
         self.ticker: Ticker | None = None
@@ -54,18 +55,16 @@
         conf, service, loop = self.conf, self.service, asyncio.get_running_loop()
         most = conf.sockets - RESERVE
         if conf.announce:
-            announcer = Announcer(conf.announce, conf.name, self.log)
-            service.announce = announcer
-            self.tasks.add(loop.create_task(announcer.run()))
+            service.announce = self.announcer = Announcer(conf.announce, conf.name, self.log)
+            self.announcer.start()
         if conf.index:
-            service.calls = IndexClient(conf.index, service, self.log)
+            service.calls = self.index = IndexClient(conf.index, service, self.log)
         if self.runs is not None:
             service.runs = self.runs
             service.pool_up(False, 0.0)
         elif conf.pool:
-            pool = PoolLink(conf.pool, service, self.log)
-            service.runs = pool
-            self.tasks.add(loop.create_task(pool.run()))
+            service.runs = self.pool = PoolLink(conf.pool, service, self.log)
+            self.pool.start()
         else:
             self.upstreams = Upstreams(self.deployment, service, self.log, service.settings.cores)
             service.runs = self.upstreams
@@ -95,12 +94,27 @@
         """The notice to drain; the listeners stay open, for what reaches them is still answered."""
         self.service.leave(self.conf.stop_after)
 
+    def reload(self, conf: Config) -> None:
+        """Move to the addresses of a new configuration; requests, runs and notice numbers go on.
+
+        What else differs needs a restart.  Checked as a whole first: what can't be followed changes nothing.
+        """
+        parts = (("pool", self.pool, conf.pool), ("index", self.index, conf.index),
+                 ("announce", self.announcer, conf.announce))
+        for name, part, peer in parts:
+            if (part is None) != (peer is None):
+                raise ConfigError(f"config: field {name} can't come or go while the program runs")
+        for _, part, peer in parts:
+            if part is not None and peer is not None:
+                part.move(peer)
+        self.log("reloaded", pool=conf.pool, index=conf.index, announce=conf.announce)
+
     async def close(self) -> None:
         for listener in self.listeners:
             listener.close()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for part in (self.pool, self.index, self.announcer):
+            if part is not None:
+                part.close()
         if self.upstreams is not None:
             self.upstreams.close()
         if self.ticker is not None:
--- a/saltcart/core/keys.py
+++ b/saltcart/core/keys.py
@@ -4,10 +4,16 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 Key = tuple[str, str, bytes]  # tenant, class, key: no tenant reaches another's
 
 
+def digest(body: bytes) -> bytes:
+    """Tells bodies apart without keeping them."""
+    return blake2b(body, digest_size=16).digest()
+
+
 @dataclass(slots=True)
 class Entry:
     """One key.  ``until`` is when tries stop being its repeats, by the time at which they arrived."""
@@ -15,6 +21,8 @@
     key: Key
     holder: int
     until: float
+    digest: bytes  # of the body that all tries of the request carry
+    idents: set[bytes] = field(default_factory=set)  # of its tries: an id comes once
     ran: bool = False
     over: bool = False
     result: bytes | None = None  # of a run that went well
@@ -39,14 +47,14 @@
         entry = self.entries.get(key)
         return entry if entry is not None and received <= entry.until else None
 
-    def keep(self, key: Key, holder: int, until: float) -> Entry:
+    def keep(self, key: Key, holder: int, until: float, body: bytes) -> Entry:
         entry = self.entries.get(key)
         if entry is not None and entry.holder == holder:
             entry.until = max(entry.until, until)
             return entry
         if entry is not None:
             self.by_holder.pop(entry.holder, None)
-        entry = self.entries[key] = self.by_holder[holder] = Entry(key, holder, until)
+        entry = self.entries[key] = self.by_holder[holder] = Entry(key, holder, until, digest(body))
         return entry
 
     def release(self, holder: int) -> Entry | None:
@@ -56,6 +64,11 @@
             return None
         return self._remove(entry)
 
+    def never_ran(self, holder: int) -> Entry | None:
+        """It is proved that nothing was started: the key is as free as before."""
+        entry = self.by_holder.get(holder)
+        return None if entry is None else self._remove(entry)
+
     def _remove(self, entry: Entry) -> Entry:
         self.by_holder.pop(entry.holder, None)
         if self.entries.get(entry.key) is entry:
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -14,7 +14,7 @@
 
 from saltcart import interface as i
 from saltcart.balance import Controller
-from saltcart.core.keys import Entry, Key, KeyTable
+from saltcart.core.keys import Entry, Key, KeyTable, digest
 from saltcart.core.ports import Announce, Answer, Ask, Calls, Log, Reply, Runs, Verdict
 from saltcart.core.timers import Timers
 
@@ -127,6 +127,13 @@
         due = ask.received + (spec.deadline if ask.budget is None else ask.budget)
         r = Request(next(self.numbers), ask, spec, max(due, now), reply)
         entry = None if key is None else self.keys.find(key, ask.received)
+        if entry is not None:
+            # Whoever guesses or repeats a key must not be served what another's request has led to.
+            if entry.digest != digest(ask.body):
+                raise Unacceptable("this key came with another body")
+            if ask.ident in entry.idents:
+                raise Unacceptable("this id was used before")
+            entry.idents.add(ask.ident)
         if self.controller is None or (key is not None and entry is None and self.keys.full()):
             self._answer(r, Answer(Verdict.REFUSED, back_off=UNSERVED_BACK_OFF))
             return r.number
@@ -208,6 +215,9 @@
         entry = self._entry_held_by(r)
         if entry is not None:
             entry.over, entry.result = True, result if outcome is i.Outcome.OK else None
+            if outcome is i.Outcome.MOOT and not r.notice:  # proof that nothing ran: the key is free
+                self.keys.never_ran(r.number)
+                self._fail_joined(entry)
         r.state = State.HELD  # nothing of it is left in the pool
         self._feed(i.Finished(r.number, outcome, took))
         self._answer(r, Answer(Verdict.FAILED))  # the module has answered by now; never leave one open
@@ -293,10 +303,16 @@
         entry = self.keys.find(r.key, r.ask.received)
         if entry is not None and entry.holder != r.number:
             return False
-        entry = self.keys.keep(r.key, r.number, r.ask.received + r.spec.window + self.settings.answer_slack)
+        entry = self._keep_entry(r, r.ask.received + r.spec.window + self.settings.answer_slack)
         entry.ran = True
         return True
 
+    def _keep_entry(self, r: Request, until: float) -> Entry:
+        assert r.key is not None
+        entry = self.keys.keep(r.key, r.number, until, r.ask.body)
+        entry.idents.add(r.ask.ident)
+        return entry
+
     def _stop(self, a: i.Stop) -> None:
         r = self.requests.get(a.id)
         if r is not None and r.state is State.RUNNING and not r.stopped:
@@ -343,7 +359,7 @@
     def _keep(self, a: i.Keep) -> None:
         r = self.requests.get(a.id)
         if r is not None and r.key is not None:
-            self.keys.keep(r.key, r.number, self.now + a.span)
+            self._keep_entry(r, self.now + a.span)
 
     def _release(self, a: i.Release) -> None:
         entry = self.keys.release(a.id)
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -78,7 +78,7 @@
             self.respond(405, b"", (("Allow", "POST"),))
         else:
             try:
-                ask = read_ask(path, headers, body)
+                ask = read_ask(path, headers, body, self.service.clock())
                 self.open = True
                 number = self.service.arrive(ask, self.reply)
             except Unacceptable as error:
--- a/saltcart/front/fields.py
+++ b/saltcart/front/fields.py
@@ -10,26 +10,35 @@
 from saltcart.core.service import Unacceptable
 
 MAX_BODY = 2048
+LONGEST = 600_000.0  # milliseconds: no caller waits, and no work takes, longer than this
+OLDEST, NEWEST = 60.0, 5.0  # seconds before and after now in which a request can have come to the machine
 IDENT = re.compile(rb"[0-9a-fA-F]{16}\Z")
 KEY = re.compile(rb"[\x21-\x7e]{1,128}\Z")
 NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,9})?\Z")
+DIGITS = re.compile(rb"[0-9]{1,15}\Z")
+PRINTABLE = re.compile(rb"[\x20-\x7e]{1,256}\Z")
 NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
 
 
 def number(headers: Mapping[bytes, bytes], name: bytes, default: float | None, low: float,
-           high: float) -> float:
+           high: float, form: re.Pattern[bytes] = NUMBER) -> float:
     text = headers.get(name)
     if text is None:
         if default is None:
             raise Unacceptable(f"{name.decode()} is missing")
         return default
-    if not NUMBER.match(text) or not low <= float(text) <= high:
+    if not form.match(text) or not low <= float(text) <= high:
         raise Unacceptable(f"{name.decode()} is not a number in its range")
     return float(text)
 
 
-def read_ask(path: bytes, headers: Mapping[bytes, bytes], body: bytes) -> Ask:
-    """A request as the core takes it; ``Unacceptable`` names the field that is wrong."""
+def read_ask(path: bytes, headers: Mapping[bytes, bytes], body: bytes, now: float) -> Ask:
+    """A request as the core takes it; ``Unacceptable`` names the field that is wrong.
+
+    Every figure is held to its range: one that is not would be served on terms that no request has.
+    """
+    if len(body) > MAX_BODY:
+        raise Unacceptable("the body is too long")
     ident = headers.get(b"request-id", b"")
     if not IDENT.match(ident):
         raise Unacceptable("request-id is not 16 hex digits")
@@ -41,11 +50,14 @@
     if key is not None and not KEY.match(key):
         raise Unacceptable("once-key is malformed")
     subject = headers.get(b"resource-key")
-    budget = number(headers, b"budget-ms", math.nan, 0, 3.6e6)
-    cost = number(headers, b"work-estimate", math.nan, 0, 3.6e6)
+    if subject is not None and not PRINTABLE.match(subject):
+        raise Unacceptable("resource-key is malformed")
+    budget = number(headers, b"budget-ms", math.nan, 0, LONGEST)
+    cost = number(headers, b"work-estimate", math.nan, 0, LONGEST)
+    received = number(headers, b"received-at", None, (now - OLDEST) * 1000, (now + NEWEST) * 1000) / 1000
     return Ask(
-        ident, klass, account, number(headers, b"received-at", None, 1, 1e14) / 1000,
-        None if math.isnan(budget) else budget / 1000,
-        number(headers, b"footprint-kb", None, 0, 1e6), number(headers, b"priority-rank", 0.0, 0, 1),
-        None if math.isnan(cost) else cost / 1000, int(number(headers, b"sent-by", 0, 0, 1e9)),
+        ident, klass, account, received, None if math.isnan(budget) else budget / 1000,
+        number(headers, b"footprint-kb", None, 1e-9, math.nextafter(2000, 0)),
+        number(headers, b"priority-rank", 0.0, 0, math.nextafter(1, 0)),
+        None if math.isnan(cost) else cost / 1000, int(number(headers, b"sent-by", 0, 0, 1e9, DIGITS)),
         key, None if subject is None else subject.decode("latin-1"), body)
--- a/saltcart/net/announcer.py
+++ b/saltcart/net/announcer.py
@@ -43,20 +43,40 @@
         self.state: bool | None = None
         self.changed = asyncio.Event()
         self.failing = False
+        self.connection: ReportConnection | None = None
+        self.task: asyncio.Task[None] | None = None
 
     def accepting(self, on: bool) -> None:
         self.state = on
         self.changed.set()
 
-    async def run(self) -> None:
-        connection: ReportConnection | None = None
+    def start(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    def move(self, peer: str) -> None:
+        """Another address from now on; it is told at once."""
+        if peer != self.peer:
+            self.close()
+            self.peer = peer
+            if self.state is not None:
+                self.changed.set()
+            self.start()
+
+    async def _run(self) -> None:
         await self.changed.wait()
         while True:
             self.changed.clear()
             pause = EVERY
             try:
                 async with asyncio.timeout(WAIT):
-                    connection = await self._report(connection)
+                    await self._report()
                 if self.failing:
                     self.failing = False
                     self.log("announce-back")
@@ -65,19 +85,20 @@
                     self.failing = True
                     self.log("announce-lost", error=str(error))
                 pause = RETRY
-                if connection is not None:
-                    connection.close()
-                connection = None
+                if self.connection is not None:
+                    self.connection.close()
+                    self.connection = None
             try:
                 async with asyncio.timeout(pause):
                     await self.changed.wait()
             except TimeoutError:
                 pass
 
-    async def _report(self, connection: ReportConnection | None) -> ReportConnection | None:
+    async def _report(self) -> None:
         loop = asyncio.get_running_loop()
-        if connection is None or connection.transport is None:
-            _, connection = await loop.create_connection(ReportConnection, *address(self.peer))
+        if self.connection is None or self.connection.transport is None:
+            _, self.connection = await loop.create_connection(ReportConnection, *address(self.peer))
+        connection = self.connection
         connection.answer = loop.create_future()
         body = orjson.dumps({"accepting": "true" if self.state else "false"})
         connection.send(http1.request("PUT", f"/announce/{self.name}", self.peer, body))
@@ -86,5 +107,4 @@
             raise ConnectionError(f"status {response.status}")
         if not response.keep_alive:
             connection.close()
-            return None
-        return connection
+            self.connection = None
--- a/saltcart/net/base.py
+++ b/saltcart/net/base.py
@@ -43,6 +43,11 @@
         if self.transport is not None:
             self.transport.close()
 
+    def abort(self) -> None:
+        """End it at once: for a peer that need not read what is still to be written."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def opened(self) -> None:
         """The connection stands."""
 
@@ -58,6 +63,29 @@
     return host, int(port)
 
 
+class LinkConnection(Connection):
+    """A link's connection; only the newest one speaks for the link."""
+
+    def __init__(self, link: Link) -> None:
+        super().__init__()
+        self.link = link
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        before, self.link.connection = self.link.connection, self
+        if before is not None:
+            before.close()
+        super().connection_made(transport)
+
+    def current(self) -> bool:
+        return self.link.connection is self
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        if self.current():
+            self.link.connection = None
+            self.link.ended.set()
+
+
 class Link:
     """Keeps one connection to a peer open: waits a little longer after each failure."""
 
@@ -65,20 +93,39 @@
 
     def __init__(self, name: str, peer: str, log: Log) -> None:
         self.name, self.peer, self.log = name, address(peer), log
-        self.connection: Connection | None = None
+        self.connection: LinkConnection | None = None
         self.ended = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
 
-    def make(self) -> Connection:
+    def make(self) -> LinkConnection:
         raise NotImplementedError
 
-    async def run(self) -> None:
+    def start(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def move(self, peer: str) -> None:
+        """Another address from now on; what the old connection still had to say is asked for again."""
+        if address(peer) == self.peer:
+            return
+        self.peer = address(peer)
+        self.close()
+        self.start()
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    async def _run(self) -> None:
         wait = self.FIRST_WAIT
         loop = asyncio.get_running_loop()
         while True:
             self.ended.clear()
             try:
                 async with asyncio.timeout(2.0):
-                    _, self.connection = await loop.create_connection(self.make, *self.peer)
+                    await loop.create_connection(self.make, *self.peer)
             except (OSError, TimeoutError) as error:
                 if wait == self.FIRST_WAIT:
                     self.log("link-refused", link=self.name, error=str(error))
@@ -87,6 +134,5 @@
                 continue
             wait = self.FIRST_WAIT
             await self.ended.wait()
-            self.connection = None
             self.log("link-lost", link=self.name)
             await asyncio.sleep(self.FIRST_WAIT)
--- a/saltcart/net/index.py
+++ b/saltcart/net/index.py
@@ -66,6 +66,22 @@
             self.connection.open.discard(ident)
             self.connection.send(wire.stop(ident))
 
+    def move(self, peer: str) -> None:
+        """Another address from now on; calls under way end where they were made."""
+        if address(peer) == self.peer:
+            return
+        self.peer = address(peer)
+        connection, self.connection = self.connection, None
+        if connection is not None and not connection.open:
+            connection.close()
+
+    def close(self) -> None:
+        for part in (self.task, self.idle):
+            if part is not None:
+                part.cancel()
+        if self.connection is not None:
+            self.connection.close()
+
     async def _connect(self) -> None:
         outcome = Outcome.BROKEN
         try:
--- a/saltcart/net/pool.py
+++ b/saltcart/net/pool.py
@@ -4,22 +4,23 @@
 
 from saltcart.core.ports import Log, RunEvents
 from saltcart.interface import Outcome
-from saltcart.net.base import Connection, Link
+from saltcart.net.base import Link, LinkConnection, address
 from saltcart.wire import pool as wire
 from saltcart.wire.errors import Malformed
 
 ENDS = {b"PASS": Outcome.OK, b"FAIL": Outcome.ERROR, b"KILLED": Outcome.CANCELLED, b"NOOP": Outcome.MOOT}
 
 
-class PoolConnection(Connection):
-    def __init__(self, link: PoolLink) -> None:
-        super().__init__()
-        self.link = link
+class PoolConnection(LinkConnection):
+    link: PoolLink
 
     def opened(self) -> None:
         self.send(self.link.session.connected())
 
     def received(self) -> None:
+        if not self.current():  # a link that was left: its notices come again on the new one
+            self.buffer.consume(len(self.buffer))
+            return
         try:
             for message in self.link.session.messages(self.buffer):
                 if isinstance(message, bytes):
@@ -29,11 +30,11 @@
         except Malformed as error:
             self.link.log("pool-malformed", error=str(error))
             self.link.session.lost()
-            self.close()
+            self.abort()
 
     def closed(self) -> None:
-        self.link.session.lost()
-        self.link.ended.set()
+        if self.current():
+            self.link.session.lost()
 
 
 class PoolLink(Link):
@@ -41,9 +42,14 @@
         super().__init__("pool", peer, log)
         self.session, self.events = wire.Session(), events
 
-    def make(self) -> Connection:
+    def make(self) -> LinkConnection:
         return PoolConnection(self)
 
+    def move(self, peer: str) -> None:
+        if address(peer) != self.peer:
+            self.session.lost()  # what comes before the new link is bound waits for it
+        super().move(peer)
+
     def apply(self, message: wire.Message) -> None:
         match message:
             case wire.Polled(gauges):
--- a/saltcart/wire/ajp.py
+++ b/saltcart/wire/ajp.py
@@ -212,6 +212,8 @@
         request = read_forward(p)
         if self.secret and not hmac.compare_digest(request.attributes.get("secret", b""), self.secret):
             raise Malformed("secret", 403)
+        if b"content-length" in request.headers and b"transfer-encoding" in request.headers:
+            raise Malformed("two lengths at once")  # they may hide a second request in the body
         length = request.headers.get(b"content-length", b"0")
         if not length.isdigit() or len(length) > 9:
             raise Malformed("content-length")
--- a/saltcart/wire/http1.py
+++ b/saltcart/wire/http1.py
@@ -67,7 +67,8 @@
 
 def body_length(headers: dict[bytes, bytes], limit: int) -> int:
     if b"transfer-encoding" in headers:
-        raise Malformed("transfer coding", 501)
+        # Both lengths at once may hide a second request in the first one's body (RFC 9112, 6.1).
+        raise Malformed("transfer coding", 400 if b"content-length" in headers else 501)
     text = headers.get(b"content-length", b"0")
     if not DIGITS.match(text):
         raise Malformed("content-length")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -61,8 +61,9 @@
     # the driver
     def arrive(self, number: int, klass: str = "oddaja", key: bytes | None = b"k", **more: Any) -> int:
         ident = b"%016x" % number
-        ask = Ask(ident, klass, "a", self.now, 3.0, 10.0, 0.9, body=b"body-%d" % number,
-                  key=key if klass == "oddaja" else None)
+        once = klass == "oddaja"  # all tries of one request carry the same body
+        ask = Ask(ident, klass, "a", self.now, 3.0, 10.0, 0.9, key=key if once else None,
+                  body=b"body of %b" % key if once and key else b"body-%d" % number)
         return self.service.arrive(replace(ask, **more), self.answers.setdefault(ident, []).append)
 
     def end(self, number: int, outcome: i.Outcome = i.Outcome.OK, result: bytes = b"result") -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -135,13 +135,18 @@
     def __init__(self, address: str) -> None:
         self.host, self.port = address.split(":")
         self.buffer, self.parser = Buffer(), http1.ResponseParser(1 << 16)
+        self.changed: dict[str, str | None] = {}  # fields that are sent with another value, or left out
+
+    def fields(self, number: int, **more: Any) -> list[tuple[str, str]]:
+        named = {**dict(fields(number, **more)), **self.changed}
+        return [(name, value) for name, value in named.items() if value is not None]
 
     async def open(self) -> Self:
         self.reader, self.writer = await asyncio.open_connection(self.host, int(self.port))
         return self
 
     def send(self, number: int, klass: str = "read", body: bytes = b"x", **more: Any) -> None:
-        head = "".join(f"{name}: {value}\r\n" for name, value in fields(number, **more))
+        head = "".join(f"{name}: {value}\r\n" for name, value in self.fields(number, **more))
         self.writer.write(f"POST /call/{klass} HTTP/1.1\r\nHost: h\r\n{head}"
                           f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
@@ -171,7 +176,7 @@
     def send(self, number: int, klass: str = "read", body: bytes = b"x", first: int = ajp.MAX_DATA,
              **more: Any) -> None:
         """``first``: how much of the body goes along unasked."""
-        headers = [(n.encode(), v.encode()) for n, v in fields(number, **more)]
+        headers = [(n.encode(), v.encode()) for n, v in self.fields(number, **more)]
         self.writer.write(ajp.forward_request(
             b"POST", b"/call/" + klass.encode(), [*headers, (b"Content-Length", b"%d" % len(body))],
             b"localhost", 8009, self.secret))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -85,8 +86,8 @@
 
 def test_the_key_table_forgets_and_keeps_what_has_run() -> None:
     table = KeyTable(9, grace=2.0)
-    table.keep(("a", "c", b"x"), 1, 10.0).ran = True
-    table.keep(("a", "c", b"y"), 2, 10.0)
+    table.keep(("a", "c", b"x"), 1, 10.0, b"").ran = True
+    table.keep(("a", "c", b"y"), 2, 10.0, b"")
     assert table.release(1) is None and table.release(2) is not None  # a run's entry is never given up
     table.sweep(11.9, lambda _: False)
     assert len(table) == 1
@@ -235,3 +236,25 @@
     w.service.gauges((0.25, 7.0, 3.0, 9.0))  # a gauge of an unknown name is no argument of the event
     w.until(w.now + 0.2)
     assert w.service.gauge_values == {"cpu_busy": 0.25, "runnable": 3.0}
+
+
+@pytest.mark.parametrize(("again", "named"), [
+    ({"body": b"another"}, "body"), ({"number": 1}, "id")])
+@pytest.mark.parametrize("over", [False, True])
+def test_a_key_serves_only_tries_of_its_own_request(again: dict[str, Any], named: str, over: bool) -> None:
+    """A client that repeats another's key or id must not be served that one's result."""
+    w = World()
+    w.arrive(1)
+    if over:
+        w.end(1)
+    with pytest.raises(Unacceptable, match=named):
+        w.arrive(**{"number": 2, **again})
+    assert w.spawned() == [b"%016x" % 1]
+
+
+def test_a_run_that_was_proved_never_to_have_begun_leaves_its_key_free() -> None:
+    w = World()
+    w.arrive(1, body=b"not the request's")
+    w.end(1, i.Outcome.MOOT)  # the pool knows no such request
+    w.arrive(2)
+    assert w.verdicts(1) == ["failed"] and w.spawned() == [b"%016x" % 1, b"%016x" % 2]
--- a/tests/test_core_rules.py
+++ b/tests/test_core_rules.py
@@ -25,6 +25,7 @@
         self.started = set[bytes]()
         self.waiting = set[bytes]()  # runs that wait for a call
         self.under_way = set[bytes]()
+        self.called = set[bytes]()
 
     def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
         assert ident not in self.started, "spawned twice"
@@ -78,6 +79,7 @@
         elif what < 0.75 and self.under_way - self.waiting:
             ident = rng.choice(sorted(self.under_way - self.waiting))
             self.waiting.add(ident)
+            self.called.add(ident)
             self.service.run_blocked(ident, self.number, b"question")
         elif self.under_way:
             ident = rng.choice(sorted(self.under_way))
@@ -86,7 +88,10 @@
                 self.service.run_lost(ident)
             else:
                 how = [i.Outcome.OK] * 5 + [i.Outcome.ERROR, i.Outcome.CANCELLED, i.Outcome.MOOT]
-                self.service.run_ended(ident, rng.choice(how), 0.1, b"result")
+                outcome = rng.choice(how)
+                if outcome is i.Outcome.MOOT and ident in self.key and ident not in self.called:
+                    self.ran[self.key[ident]].remove(self.reached[ident])  # proof that it never ran
+                self.service.run_ended(ident, outcome, 0.1, b"result")
             self.waiting.discard(ident)
 
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,8 +14,9 @@
 
 import pytest
 
+from saltcart.deployment import AjpFront, Deployment
 from saltcart.net.listener import Listener
-from tests.standins import HttpClient, Pool, Server, raw_config, running, until
+from tests.standins import AjpClient, HttpClient, Pool, Server, raw_config, running, until
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -145,6 +146,30 @@
     asyncio.run(play())
 
 
+BAD = [
+    ("Request-Id", "12"), ("Request-Id", "x" * 16), ("Received-At", "0"), ("Received-At", "now"),
+    ("Received-At", "99999999999999"), ("Budget-Ms", "-1"), ("Budget-Ms", "1e9"), ("Budget-Ms", "99999999"),
+    ("Footprint-Kb", "0"), ("Footprint-Kb", "2000"), ("Footprint-Kb", "nan"), ("Priority-Rank", "1"),
+    ("Priority-Rank", "-0.1"), ("Sent-By", "4.5"), ("Sent-By", "-4"), ("Work-Estimate", "1e3"),
+    ("Account", "nobody"), ("Account", ""), ("Once-Key", "a b"), ("Resource-Key", "\x7f"),
+    ("Footprint-Kb", None)]
+
+
+@pytest.mark.parametrize("front", ["http", "ajp"])
+def test_every_field_is_held_to_its_form_and_range(front: str) -> None:
+    """What no request can say never reaches the core, on either front."""
+    async def play() -> None:
+        async with Pool() as pool, running(Deployment(ajp=AjpFront("127.0.0.1:0")), pool=pool.address) as app:
+            for name, value in BAD:
+                client = await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+                client.changed = {name: value}
+                assert (await client.ask(1, body=b"x")).status == 400, (name, value)
+                client.drop()
+            assert not pool.spawned and not app.service.requests
+
+    asyncio.run(play())
+
+
 def test_a_silent_pool_costs_no_answer() -> None:
     """One final answer by the due time, whatever the pool does; refusals say when to come back."""
     async def play() -> None:
@@ -220,6 +245,54 @@
     asyncio.run(play())
 
 
+def test_a_hangup_moves_the_program_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    """SIGHUP, from the first moment on and repeated: runs go on, and notices are numbered on."""
+    async def play() -> None:
+        async with Pool(auto=False) as old, Pool(auto=False) as new, Server(silent) as index:
+            path = tmp_path / "c.json"
+            program = await start(path, raw_config(pool=old.address, index=index.address))
+            await until(lambda: "python" in os.readlink(f"/proc/{program.pid}/exe"))
+            program.send_signal(signal.SIGHUP)  # it starts still
+            assert program.stdout is not None
+            first = json.loads(await program.stdout.readline())
+            client = await HttpClient(first["address"]).open()
+            await until(lambda: b"bind 0" in old.told)
+            client.send(1)
+            await until(lambda: len(old.spawned) == 1)
+            for bad in ("{", json.dumps(raw_config(index=index.address)), "[]"):
+                path.write_text(bad)
+                program.send_signal(signal.SIGHUP)
+                await logged(program.stdout, "reload-failed")
+            new.number = old.number  # the same pool at another address
+            new.bodies.update(old.bodies)
+            path.write_text(json.dumps(raw_config(pool=new.address, index=index.address)))
+            for _ in range(3):
+                program.send_signal(signal.SIGHUP)
+            await logged(program.stdout, "reloaded")
+            await until(lambda: b"bind 0" in new.told)
+            old.writer = None
+            new.finish(ident(1))
+            assert (await client.answer()).body == b"done x"
+            client.send(2)
+            await until(lambda: new.spawned[-1:] == [ident(2)])
+            assert old.spawned == [ident(1)] and program.returncode is None
+            program.terminate()
+            await program.communicate()
+
+    asyncio.run(play())
+
+
+async def silent(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+    while await reader.read(4096):
+        pass
+
+
+async def logged(lines: asyncio.StreamReader, event: str) -> None:
+    async with asyncio.timeout(20):
+        while json.loads(await lines.readline())["event"] != event:
+            pass
+
+
 @pytest.mark.parametrize(("raw", "env", "named"), [
     ({"listen": 5}, {}, "listen"), ({"settings": {}}, {}, "extra"), ({"seed": "xyz"}, {}, "xyz"),
     ({}, {"SALTCART_DEPLOYMENT": "/does/not/exist"}, "exist"),
