One call a connection, deadlines for reading, bounded descriptors, recalls after a break

Now each call has a connection of its own, bounded in number; what must run once never takes an idle one. A call that broke off is made again where that is safe and there is time. Silent and half-sent connections end in 2 s from their first byte, not from the last; a flood makes way for balancers; peers that do not read are not written to; chatter's numbers count for nothing; ended runs leave the resend list.

--- a/saltcart/admin/server.py
+++ b/saltcart/admin/server.py
@@ -17,11 +17,14 @@
 
     def received(self) -> None:
         self.touch()
+        if self.began is None:
+            self.began = self.used
         try:
             while self.transport is not None and not self.transport.is_closing():
                 request = self.parser.next(self.buffer)
                 if request is None:
                     return
+                self.began = None if not len(self.buffer) else self.used
                 status, body, fields = self.api.handle(
                     request.method.decode("latin-1"), request.target.decode("latin-1"), request.headers,
                     request.body)
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -25,7 +25,8 @@
 from saltcart.net.upstreams import Upstreams
 
 ADMIN_IDLE, ADMIN_CONNECTIONS = 30.0, 16
-RESERVE = 64  # descriptors kept for what is not an accepted connection
+RESERVE = 24  # descriptors for the pool, the announce service, listeners, logs and the loop itself
+CALLS = 64  # connections to the index, at most and as far as a sixth of the descriptors goes
 
 
 class App:
@@ -53,12 +54,16 @@
 
     async def start(self) -> None:
         conf, service, loop = self.conf, self.service, asyncio.get_running_loop()
-        most = conf.sockets - RESERVE
+        calls = max(4, min(CALLS, conf.sockets // 6))
+        most = max(8, conf.sockets - RESERVE - calls)
+        if self.deployment.admin is not None:
+            most = max(8, most - ADMIN_CONNECTIONS)
+        ajp_most = most // 3 if self.deployment.ajp is not None else 0
         if conf.announce:
             service.announce = self.announcer = Announcer(conf.announce, conf.name, self.log)
             self.announcer.start()
         if conf.index:
-            service.calls = self.index = IndexClient(conf.index, service, self.log)
+            service.calls = self.index = IndexClient(conf.index, service, self.log, calls)
         if self.runs is not None:
             service.runs = self.runs
             service.pool_up(False, 0.0)
@@ -71,7 +76,8 @@
             service.pool_up(False, 0.0)
         self.ticker = Ticker(service, loop)
         await self._listen("http", Listener(
-            conf.listen, lambda owner: HttpConnection(owner, service), lambda: service.idle_after, most))
+            conf.listen, lambda owner: HttpConnection(owner, service), lambda: service.idle_after,
+            most - ajp_most))
         if (admin := self.deployment.admin) is not None:
             registry = Registry(self.deployment, service, self.upstreams,
                                 Path(admin.state) if admin.state else None)
@@ -83,7 +89,7 @@
             secret = ajp.secret.encode()
             await self._listen("ajp", Listener(
                 ajp.listen, lambda owner: AjpConnection(owner, service, secret),
-                lambda: service.idle_after, most // 2))
+                lambda: service.idle_after, ajp_most))
 
     async def _listen(self, name: str, listener: Listener) -> None:
         self.addresses[name] = await listener.open()
--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -27,6 +27,7 @@
 CALL_TOP = 0.8  # of the share that the dependency survives: calls that were given up linger there
 CALL_FLOOR, SKIP_AT = 0.25, 0.1  # of that: about its slots; of the aim: a short queue is chance
 QUOTA_SPAN = 2.0  # aims' worth of its quota that a tenant may have run ahead
+RECALLS = 2  # calls that break off under a request before it goes on without
 BACK_OFF = 0.05  # of the aim: how long a caller that was turned away is asked to stay away
 NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE)
 
@@ -39,6 +40,7 @@
         self.state, self.ran, self.answered = HELD, False, False
         self.tenant, self.read, self.reach, self.started = tenant, now, now - ev.unread_for, now
         self.went = self.away = 0.0  # when it left the cores for a call, and its time there in all
+        self.broken = 0  # calls that broke off under it
 
 
 class Pairs:
@@ -347,7 +349,8 @@
         elif ev.outcome is Outcome.TIMEOUT:
             self.call_gate = now + self.s.call_linger  # it may stay in the dependency's hands
         # Calls that swell tell of a crowded or slow dependency, whatever the cause: back off.
-        if ev.outcome is not Outcome.OK or self.call_time > 3 * self.call_base:
+        # One that broke off tells of a link, not of a crowd.
+        if ev.outcome not in (Outcome.OK, Outcome.BROKEN) or self.call_time > 3 * self.call_base:
             if now > self.call_cut:
                 self.call_cap = max(CALL_FLOOR * self.call_top, self.call_cap * 0.8)
                 self.call_cut = now + ev.took
@@ -358,7 +361,11 @@
         if ev.outcome is not Outcome.OK:
             self.move(r, AT_CALL)
             safe = self.s.classes[r.k].effect is Effect.SAFE
-            if self.s.classes[r.k].skip_worth > 0 and not r.answered:
+            r.broken += ev.outcome is Outcome.BROKEN
+            if safe and ev.outcome is Outcome.BROKEN and not r.answered and r.broken <= RECALLS and (
+                    now + self.call_time + self.run_time[r.k] / 2 < r.aim):
+                self.callers_wait[r.k].append(r)  # it may be made again, and there is time to
+            elif self.s.classes[r.k].skip_worth > 0 and not r.answered:
                 self.resume(now, r, skip=True)
             elif safe or ev.outcome in NEVER_RAN:
                 self.callers_wait[r.k].append(r)
@@ -389,7 +396,10 @@
                     continue
                 if self.count[CALLING] + 1 <= max(1.0, self.call_cap) and now >= self.call_gate:
                     self.move(r, CALLING)
-                    self.out.append(Call(r.id, max(self.sweep, r.aim - now)))
+                    left = r.aim - now
+                    if c.skip_worth > 0:  # a reply that leaves no time to use it is not worth waiting for
+                        left -= min(left / 2, max(0.1 * c.aim, self.run_time[k] / 2))
+                    self.out.append(Call(r.id, max(self.sweep, left)))
                 elif c.skip_worth > 0 and (self.call_cap < self.call_top or now - r.went > SKIP_AT * c.aim):
                     self.resume(now, r, skip=True)
                 else:
--- a/saltcart/core/ports.py
+++ b/saltcart/core/ports.py
@@ -66,9 +66,9 @@
 
 
 class Calls(Protocol):
-    """Calls to what lies below."""
+    """Calls to what lies below.  ``once``: the call must never be made where a first one may have run."""
 
-    def call(self, ident: bytes, limit: float, body: bytes) -> None: ...
+    def call(self, ident: bytes, limit: float, body: bytes, once: bool) -> None: ...
     def give_up(self, ident: bytes) -> None: ...
 
 
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -18,9 +18,10 @@
 from saltcart.core.ports import Announce, Answer, Ask, Calls, Log, Reply, Runs, Verdict
 from saltcart.core.timers import Timers
 
-CALL_SLACK = 0.25  # a call that gets no reply in its time is given up this much later
+CALL_SLACK = 0.15  # a call that gets no reply in its time is given up this much later
 STOP_MARGIN = 0.12  # everything is answered this long before the process is stopped
 UNSERVED_BACK_OFF = 0.25  # where the core itself refuses: no pool yet, or no room for a key
+SURPLUS = 15.0  # nothing of a request that was answered is waited for longer than this past its due time
 AFTER_FAULT = 0.1  # the module's timer rings again this long after a fault in it
 LOST_GRACE = 2.0  # an answered run that was told to stop and is not heard of is taken off the books
 
@@ -124,7 +125,8 @@
         if key is None and spec.effect is i.Effect.KEYED:
             raise Unacceptable("this class needs a key")
         unread = max(0.0, now - ask.received)
-        due = ask.received + (spec.deadline if ask.budget is None else ask.budget)
+        # No caller waits longer than its class's deadline: nothing is held or timed for longer than that.
+        due = ask.received + min(spec.deadline, spec.deadline if ask.budget is None else ask.budget)
         r = Request(next(self.numbers), ask, spec, max(due, now), reply)
         entry = None if key is None else self.keys.find(key, ask.received)
         if entry is not None:
@@ -348,7 +350,7 @@
             r.state = State.BLOCKED
             self.events.append(i.CallEnded(a.id, i.Outcome.UNREACHABLE, 0.0))
         else:
-            self.calls.call(r.ask.ident, a.limit, r.call_body)
+            self.calls.call(r.ask.ident, a.limit, r.call_body, r.spec.effect is not i.Effect.SAFE)
 
     def _skip(self, a: i.SkipCall) -> None:
         r = self.requests.get(a.id)
@@ -412,7 +414,7 @@
         r = self.requests.get(number)
         if r is not None and r.state is State.CALLING and r.call_number == call_number:
             self._give_up_call(r)
-            self.call_ended(r.ask.ident, i.Outcome.TIMEOUT, b"")
+            self.call_ended(r.ask.ident, i.Outcome.BROKEN, b"")  # not even word that its time is over
 
     def _write_off(self, number: int) -> None:
         """A run that was told to stop is not heard of: it must not hold a slot for ever."""
@@ -428,6 +430,11 @@
 
     def _sweep_keys(self) -> None:
         self.keys.sweep(self.now, self.requests.__contains__)
+        for r in [r for r in self.requests.values() if r.reply is None and r.due + SURPLUS < self.now]:
+            # Its end was never told.  What is kept by id must not grow with what a peer leaves unsaid.
+            self.log("written-off", id=r.ask.ident.decode(), state=r.state.value)
+            self.runs.suspend(r.ask.ident)
+            self.run_ended(r.ask.ident, i.Outcome.CANCELLED, 0.0, b"")
         self.timers.at(self.now + 1.0, self._sweep_keys)
 
     # ---- bookkeeping --------------------------------------------------------------------------
--- a/saltcart/front/ajp.py
+++ b/saltcart/front/ajp.py
@@ -14,8 +14,8 @@
         super().__init__(listener, service)
         self.parser = ajp.RequestParser(MAX_BODY, secret)
 
-    def busy(self) -> bool:
-        return self.parser.request is not None or super().busy()
+    def partial(self) -> bool:
+        return self.parser.request is not None or super().partial()
 
     def step(self) -> bool:
         message = self.parser.next(self.buffer)
@@ -23,6 +23,7 @@
             case None:
                 return False
             case ajp.Ping():
+                self.began = None
                 self.send(ajp.CPONG_PACKET)
             case ajp.MoreBody(data):
                 self.send(data)
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -12,6 +12,8 @@
 
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 CLOSE_ON_ANSWER = 0.25  # idle times below this end the connection with the answer, not after it
+LINGER = 0.2  # a client that still sends is left this long to read why it is cut off
+AT_ONCE = 8  # requests of one connection that are answered in one turn: a flood must not hold up the others
 Fields = tuple[tuple[str, str], ...]
 
 
@@ -34,6 +36,8 @@
         super().__init__(listener)
         self.service = service
         self.number, self.keep_alive = 0, True
+        self.taking = False  # the core is being given a request: an answer at once goes on in the same turn
+        self.ending = False  # an answer was given that ends the connection
 
     def step(self) -> bool:
         """Read one message and act on it; False while none is whole."""
@@ -43,23 +47,68 @@
         """Send one answer; with ``keep_alive`` off it says that the connection ends."""
         raise NotImplementedError
 
+    def partial(self) -> bool:
+        """Whether a part of a request is here."""
+        return len(self.buffer) > 0
+
     def busy(self) -> bool:
-        return self.open or super().busy()
+        return self.open or self.partial()
+
+    def able(self) -> bool:
+        """Whether a further request may be read: one at a time, and none for a peer that reads no answers."""
+        return not self.open and self.blocked is None and not self.ending and (
+            self.transport is not None and not self.transport.is_closing())
 
     def received(self) -> None:
         self.touch()
+        if self.began is None and not self.open:
+            self.began = self.used
         try:
-            while not self.open and self.transport is not None and not self.transport.is_closing():
+            for _ in range(AT_ONCE):
+                if not self.able():
+                    break
                 if not self.step():
                     return
+            else:
+                self.again()
         except Malformed as error:
-            self.keep_alive = False
-            self.respond(error.status, str(error).encode())
+            self.cut_off(error.status, str(error).encode())
             return
         # What follows an open request waits in the buffer; a full one stops the reading.
         if self.transport is not None and len(self.buffer) + 1024 > self.buffer.limit:
             self.transport.pause_reading()
 
+    def again(self) -> None:
+        """Go on with what the buffer holds in the next turn of the loop."""
+        if self.able() and len(self.buffer):
+            assert self.transport is not None
+            self.transport.resume_reading()
+            self.listener.loop.call_soon(self._next)
+
+    def _next(self) -> None:
+        if self.able():
+            self.received()
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self.again()
+
+    def expire(self) -> None:
+        if self.partial():
+            self.cut_off(408, b"the request did not come whole in its time")
+        else:
+            self.close()
+
+    def cut_off(self, status: int, why: bytes) -> None:
+        """Answer what was no request.  Nothing more is read; what still comes must not cost that answer."""
+        if self.ending or self.transport is None or self.transport.is_closing():
+            return
+        self.keep_alive, self.ending = False, True
+        self.write(status, why)
+        self.transport.pause_reading()
+        self.transport.write_eof()
+        self.listener.loop.call_later(LINGER, self.abort)
+
     def respond(self, status: int, body: bytes = b"", fields: Fields = ()) -> None:
         self.touch()
         self.write(status, body, fields)
@@ -68,6 +117,7 @@
 
     def dispatch(self, method: bytes, target: bytes, headers: Mapping[bytes, bytes], body: bytes) -> None:
         """One whole request of either front."""
+        self.began = None
         path = target.partition(b"?")[0]
         if path == b"/ping":
             hint = answer_fields(Answer(Verdict.SERVED, hint=self.service.hint))
@@ -79,22 +129,23 @@
         else:
             try:
                 ask = read_ask(path, headers, body, self.service.clock())
-                self.open = True
+                self.open = self.taking = True
                 number = self.service.arrive(ask, self.reply)
             except Unacceptable as error:
                 self.open = False
                 self.respond(400, str(error).encode())
             else:
                 self.number = number if self.open else 0
+            finally:
+                self.taking = False
 
     def reply(self, answer: Answer) -> None:
         self.open, self.number = False, 0
         if self.service.idle_after < CLOSE_ON_ANSWER:
             self.keep_alive = False
         self.respond(STATUS[answer.verdict], answer.body, answer_fields(answer))
-        if self.transport is not None and self.keep_alive and len(self.buffer):
-            self.transport.resume_reading()
-            self.listener.loop.call_soon(self.received)
+        if not self.taking:
+            self.again()
 
     def closed(self) -> None:
         """The peer has stopped waiting, if a request is open."""
--- a/saltcart/front/http.py
+++ b/saltcart/front/http.py
@@ -14,6 +14,9 @@
         super().__init__(listener, service)
         self.parser = http1.RequestParser(MAX_BODY)
 
+    def partial(self) -> bool:
+        return self.parser.head is not None or super().partial()
+
     def step(self) -> bool:
         request = self.parser.next(self.buffer)
         if request is None:
--- a/saltcart/net/index.py
+++ b/saltcart/net/index.py
@@ -1,8 +1,13 @@
-"""Calls to the next tier: the calls port on a socket, opened when a call needs it."""
+"""Calls to the next tier: the calls port on sockets, one call at a time on each.
+
+What spoils a reply spoils its connection, and with it every call there.  So a connection carries one call at
+a time, and one whose reply was spoilt or stayed away is never used again.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 
 from saltcart.core.ports import CallEvents, Log
 from saltcart.interface import Outcome
@@ -15,108 +20,187 @@
     b"HIT": Outcome.OK, b"SHED": Outcome.REJECTED, b"BROKEN": Outcome.ERROR, b"SLOW": Outcome.TIMEOUT,
     b"NOBODY": Outcome.REJECTED,
 }
-IDLE = 7.0  # the proxy closes after 10 s; ours comes first, or a call could cross that close
+CONNECT_WAIT = 2.0
+REFUSED_WAITS = (0.02, 0.05)  # a proxy that refuses is asked again: calls must not spin
+REUSE, IDLE = 0.5, 2.0  # used again within the first, closed after the second: the proxy may forget idle ones
+SWEEP = 0.5
+
+
+class Call:
+    """One call under way."""
+
+    __slots__ = ("connection", "data", "ident", "once", "task")
+
+    def __init__(self, ident: bytes, data: bytes, once: bool) -> None:
+        self.ident, self.data, self.once = ident, data, once
+        self.connection: IndexConnection | None = None
+        self.task: asyncio.Task[None] | None = None  # that connects
 
 
 class IndexConnection(Connection):
     def __init__(self, client: IndexClient) -> None:
         super().__init__()
-        self.client, self.parser = client, wire.ReplyParser()
-        self.open: set[bytes] = set()  # calls whose bytes were written here
+        self.client, self.peer, self.parser = client, client.peer, wire.ReplyParser()
+        self.call: Call | None = None
+        self.last = b""  # whose call it carried last: a second copy must not answer that one's next call
+        self.used = 0.0
+
+    def opened(self) -> None:
+        self.client.connections.add(self)
 
     def received(self) -> None:
         try:
             for reply in self.parser.messages(self.buffer):
-                if reply.ident in self.open:
-                    self.open.discard(reply.ident)
-                    self.client.events.call_ended(reply.ident, ENDS[reply.end], reply.body)
+                # A second copy, or a reply to what was given up or never asked, stands for nothing.
+                if self.call is not None and reply.ident == self.call.ident:
+                    self.client.ended(self.call, ENDS[reply.end], reply.body)
         except Malformed as error:
             self.client.log("index-malformed", error=str(error))
-            self.close()
+            self.abort()
+            self.client.lost(self)
 
     def closed(self) -> None:
+        self.client.connections.discard(self)
         self.client.lost(self)
 
 
 class IndexClient:
-    def __init__(self, peer: str, events: CallEvents, log: Log) -> None:
-        self.peer, self.events, self.log = address(peer), events, log
-        self.connection: IndexConnection | None = None
-        self.waiting: dict[bytes, bytes] = {}  # calls that wait for the connection
-        self.task: asyncio.Task[None] | None = None
-        self.idle: asyncio.TimerHandle | None = None
-
-    def call(self, ident: bytes, limit: float, body: bytes) -> None:
-        data = wire.get(ident, limit, body)
-        if self.idle is not None:
-            self.idle.cancel()
-        loop = asyncio.get_running_loop()
-        self.idle = loop.call_later(IDLE, self._idle)
-        if self.connection is not None:
-            self.connection.open.add(ident)
-            self.connection.send(data)
-            return
-        self.waiting[ident] = data
-        if self.task is None:
-            self.task = loop.create_task(self._connect())
+    """Owns the connections: each is idle, or belongs to the one call it carries."""
+
+    def __init__(self, peer: str, events: CallEvents, log: Log, most: int = 64) -> None:
+        self.peer, self.events, self.log, self.most = address(peer), events, log, most
+        self.calls: dict[bytes, Call] = {}
+        self.connections = set[IndexConnection]()
+        self.tasks = set[asyncio.Task[None]]()  # that connect
+        self.idle: list[IndexConnection] = []  # the one used last is at the end
+        self.waiting = deque[Call]()  # for a descriptor
+        self.sweeper: asyncio.TimerHandle | None = None
+
+    # ---- the port -----------------------------------------------------------------------------
+
+    def call(self, ident: bytes, limit: float, body: bytes, once: bool) -> None:
+        self.give_up(ident)  # a second call for a request gives up the first
+        call = self.calls[ident] = Call(ident, wire.get(ident, limit, body), once)
+        self._begin(call)
 
     def give_up(self, ident: bytes) -> None:
-        self.waiting.pop(ident, None)
-        if self.connection is not None and ident in self.connection.open:
-            self.connection.open.discard(ident)
-            self.connection.send(wire.stop(ident))
+        """Nobody waits for this call any more; its reply may still come, so the connection ends with it."""
+        call = self.calls.pop(ident, None)
+        if call is not None:
+            if call.connection is not None:
+                call.connection.send(wire.stop(ident))
+            self._finish(call)
 
     def move(self, peer: str) -> None:
         """Another address from now on; calls under way end where they were made."""
-        if address(peer) == self.peer:
-            return
-        self.peer = address(peer)
-        connection, self.connection = self.connection, None
-        if connection is not None and not connection.open:
-            connection.close()
+        if address(peer) != self.peer:
+            self.peer = address(peer)
+            self._close_idle(0.0)
 
     def close(self) -> None:
-        for part in (self.task, self.idle):
-            if part is not None:
-                part.cancel()
-        if self.connection is not None:
-            self.connection.close()
-
-    async def _connect(self) -> None:
-        outcome = Outcome.BROKEN
-        try:
-            async with asyncio.timeout(2.0):
-                _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: IndexConnection(self), *self.peer)
-        except (OSError, TimeoutError) as error:
-            self.log("index-refused", error=str(error))
-            if isinstance(error, ConnectionRefusedError):
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+            self.sweeper = None
+        self._close_idle(0.0)
+        for call in list(self.calls.values()):
+            self._finish(call)
+        self.calls.clear()
+
+    # ---- connections --------------------------------------------------------------------------
+
+    def _full(self) -> bool:
+        return len(self.connections) + len(self.tasks) >= self.most
+
+    def _begin(self, call: Call) -> None:
+        loop = asyncio.get_running_loop()
+        # The proxy may have forgotten an idle connection: its reset could not be told from one that comes
+        # after the call has run.  What must run once never takes that chance.
+        if self.idle and not call.once and call.ident != self.idle[-1].last and (
+                self.idle[-1].used > loop.time() - REUSE):
+            self._write(call, self.idle.pop())
+        elif self._full() and not self.idle:
+            self.waiting.append(call)
+        else:
+            if self._full():
+                self.idle.pop(0).abort()
+            call.task = loop.create_task(self._connect(call))
+            self.tasks.add(call.task)
+            call.task.add_done_callback(self.tasks.discard)
+
+    async def _connect(self, call: Call) -> None:
+        outcome, connection = Outcome.BROKEN, None
+        for wait in (*REFUSED_WAITS, 0.0):
+            try:
+                async with asyncio.timeout(CONNECT_WAIT):
+                    _, connection = await asyncio.get_running_loop().create_connection(
+                        lambda: IndexConnection(self), *self.peer)
+                break
+            except ConnectionRefusedError:
                 outcome = Outcome.UNREACHABLE
+                await asyncio.sleep(wait)
+            except (OSError, TimeoutError):
+                outcome = Outcome.BROKEN
+                break
+        call.task = None
+        if connection is None:
+            self.log("index-refused", outcome=outcome.name)
+        if connection is None or connection.transport is None:
+            self.ended(call, outcome if connection is None else Outcome.BROKEN, b"")
         else:
-            self.connection = connection if connection.transport is not None else None
-        finally:
-            self.task = None
-        waiting, self.waiting = self.waiting, {}
-        if self.connection is None:
-            for ident in waiting:
-                self.events.call_ended(ident, outcome, b"")
+            self._write(call, connection)
+
+    def _write(self, call: Call, connection: IndexConnection) -> None:
+        call.connection, connection.call, connection.last = connection, call, call.ident
+        connection.send(call.data)
+
+    def ended(self, call: Call, outcome: Outcome, reply: bytes) -> None:
+        """Every call that is not given up ends here, once."""
+        if self.calls.get(call.ident) is not call:
             return
-        self.connection.open.update(waiting)
-        self.connection.send(b"".join(waiting.values()))
+        del self.calls[call.ident]
+        connection, call.connection = call.connection, None
+        if connection is not None:
+            connection.call = None
+            if connection.peer != self.peer:
+                connection.close()
+            elif connection.transport is not None and not connection.transport.is_closing():
+                connection.used = asyncio.get_running_loop().time()
+                self.idle.append(connection)
+                if self.sweeper is None:
+                    self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+        self.events.call_ended(call.ident, outcome, reply)
+        self._serve_waiting()
+
+    def _finish(self, call: Call) -> None:
+        """Give back what a call that was given up had taken."""
+        connection, call.connection = call.connection, None
+        if connection is not None:
+            connection.call = None
+            connection.close()
+        if call.task is not None:
+            call.task.cancel()
 
     def lost(self, connection: IndexConnection) -> None:
         """A connection that breaks under a call proves nothing about it."""
-        if self.connection is connection:
-            self.connection = None
-        calls, connection.open = connection.open, set()
-        for ident in calls:
-            self.events.call_ended(ident, Outcome.BROKEN, b"")
-
-    def _idle(self) -> None:
-        if self.connection is None:
-            return
-        if self.connection.open:
-            self.idle = asyncio.get_running_loop().call_later(IDLE, self._idle)
-            return
-        connection, self.connection = self.connection, None
-        connection.close()
+        if connection in self.idle:
+            self.idle.remove(connection)
+        if connection.call is not None:
+            self.ended(connection.call, Outcome.BROKEN, b"")
+        else:
+            self._serve_waiting()
+
+    def _serve_waiting(self) -> None:
+        while self.waiting and (self.idle or not self._full()):
+            call = self.waiting.popleft()
+            if self.calls.get(call.ident) is call:
+                self._begin(call)
+
+    def _close_idle(self, age: float) -> None:
+        oldest = asyncio.get_running_loop().time() - age
+        for connection in [c for c in self.idle if c.used <= oldest]:
+            self.idle.remove(connection)
+            connection.close()
+
+    def _sweep(self) -> None:
+        self._close_idle(IDLE)
+        self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep) if self.idle else None
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -1,9 +1,9 @@
-"""A listening socket and its connections: idle ones are closed, busy ones never."""
+"""A listening socket and its connections: idle, silent and stuck ones are closed, busy ones never."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import socket
 from collections.abc import Callable
 
 from saltcart.net.base import Connection, address
@@ -17,11 +17,14 @@
         self.listener = listener
         self.used = 0.0
         self.open = False  # a whole request was read and its answer is owed
+        # Since when the next request is awaited or half here; None on a connection that rests after one.
+        self.began: float | None = None
+        self.blocked: float | None = None  # since when the peer has not read what it was sent
 
     def opened(self) -> None:
         self.touch()
-        self.listener.connections.add(self)
-        self.listener.make_room()
+        self.began = self.used
+        self.listener.add(self)
 
     def touch(self) -> None:
         self.used = self.listener.loop.time()
@@ -29,16 +32,29 @@
     def closed(self) -> None:
         self.listener.connections.discard(self)
 
+    def pause_writing(self) -> None:
+        self.blocked = self.listener.loop.time()
+
+    def resume_writing(self) -> None:
+        self.blocked = None
+
     def busy(self) -> bool:
         """Whether a request is open, or partly here, on this connection."""
         return len(self.buffer) > 0
 
+    def expire(self) -> None:
+        """The next request has not come whole in its time."""
+        self.close()
+
 
 class Listener:
     """Owns the socket; never closed while the service may still be sent requests."""
 
     SWEEP = 0.25
-    PARTIAL = 10.0  # a request that stops coming in half-way holds its connection no longer than this
+    READ_WAIT = 2.0  # a request comes whole within this, from its first byte or the connection's start
+    YOUNG = 0.1  # a connection just made is about to send its request
+    BACKLOG = 1024
+    ACCEPTS = 16  # at one turn of the loop: a flood must not run past the limit before it is counted
 
     def __init__(self, listen: str, make: Callable[[Listener], ServerConnection],
                  idle_after: Callable[[], float], most: int) -> None:
@@ -49,10 +65,19 @@
         self.timer: asyncio.TimerHandle | None = None
 
     async def open(self) -> str:
-        host, port = self.listen
-        self.server = await self.loop.create_server(
-            lambda: self.make(self), host, port, backlog=1024, reuse_address=True)
-        host, port = self.server.sockets[0].getsockname()[:2]
+        found = socket.getaddrinfo(*self.listen, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
+        family, kind, protocol, _, place = found[0]
+        sock = socket.socket(family, kind, protocol)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(place)
+            self.server = await self.loop.create_server(
+                lambda: self.make(self), sock=sock, backlog=self.ACCEPTS)
+            sock.listen(self.BACKLOG)  # the loop's figure is that of accepts at one turn as well
+        except BaseException:
+            sock.close()
+            raise
+        host, port = sock.getsockname()[:2]
         self._again()
         return f"{host}:{port}"
 
@@ -68,17 +93,27 @@
     def _again(self) -> None:
         self.timer = self.loop.call_later(self.SWEEP, self._sweep)
 
-    def make_room(self) -> None:
-        """Near the descriptor limit the connection that was idle longest makes way."""
-        if len(self.connections) > self.most:
+    def add(self, new: ServerConnection) -> None:
+        """Near the descriptor limit another makes way: one that never sent a request, or rested longest."""
+        if len(self.connections) >= self.most:
             idle = [c for c in self.connections if not c.busy()]
-            with contextlib.suppress(ValueError):
-                min(idle, key=lambda c: c.used).close()
+            if not idle:
+                new.abort()  # nothing of it was read: whoever it is may come again
+                return
+            young = self.loop.time() - self.YOUNG
+            min(idle, key=lambda c: (c.began is None or c.used > young, c.used)).abort()
+        self.connections.add(new)
 
     def _sweep(self) -> None:
         now = self.loop.time()
-        oldest, stuck = now - max(self.SWEEP, self.idle_after()), now - self.PARTIAL
+        oldest, stuck = now - max(self.SWEEP, self.idle_after()), now - self.READ_WAIT
         for c in list(self.connections):
-            if (c.used < oldest and not c.busy()) or (c.used < stuck and not c.open):
+            if c.blocked is not None and c.blocked < stuck:
+                c.abort()
+            elif c.open:
+                continue
+            elif c.began is not None and c.began < stuck:
+                c.expire()
+            elif c.began is None and c.used < oldest:
                 c.close()
         self._again()
--- a/saltcart/net/pool.py
+++ b/saltcart/net/pool.py
@@ -64,8 +64,10 @@
                 self.events.run_lost(ident)
             case wire.Unknown(command, ident):
                 self.log("pool-unknown", command=command.decode("latin-1"), id=ident.decode("latin-1"))
-                if command == b"spawn":  # nothing was started
-                    self.events.run_ended(ident, Outcome.MOOT, 0.0, b"")
+                # No spawn: nothing was started.  Another command: the run is none of the pool's any more.
+                outcome = Outcome.MOOT if command == b"spawn" else Outcome.ERROR
+                self.session.forget(ident)
+                self.events.run_ended(ident, outcome, 0.0, b"")
 
     def _send(self, data: bytes) -> None:
         if data and self.connection is not None:
--- a/saltcart/wire/buffer.py
+++ b/saltcart/wire/buffer.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 
+KEPT = 8192  # bytes of room that an empty buffer keeps
+
+
 class Overflow(Exception):
     """More unread bytes than the connection may hold."""
 
@@ -18,6 +21,8 @@
 
     def space(self, least: int = 512) -> memoryview:
         """Room to receive into.  Only here may ``data`` be resized: no view of it is alive at this point."""
+        if not self.end and len(self.data) > KEPT:
+            self.data = bytearray(KEPT)  # one long message must not hold its room for good
         if len(self.data) - self.end < least:
             self.compact()
         if len(self.data) - self.end < least:
--- a/saltcart/wire/http1.py
+++ b/saltcart/wire/http1.py
@@ -14,7 +14,8 @@
 DIGITS = re.compile(rb"[0-9]{1,9}\Z")
 REASONS = {
     200: b"OK", 201: b"Created", 204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized",
-    403: b"Forbidden", 404: b"Not Found", 405: b"Method Not Allowed", 409: b"Conflict",
+    403: b"Forbidden", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    409: b"Conflict",
     411: b"Length Required", 413: b"Content Too Large", 415: b"Unsupported Media Type",
     422: b"Unprocessable Content", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
     501: b"Not Implemented", 503: b"Service Unavailable", 505: b"HTTP Version Not Supported",
--- a/saltcart/wire/pool.py
+++ b/saltcart/wire/pool.py
@@ -121,6 +121,12 @@
         self.mark += 1
         return b"poll %d\r\n" % self.mark
 
+    def forget(self, ident: bytes) -> None:
+        """The run is over: nothing of what was said of it may be said again on a new link."""
+        self.calls.pop(ident, None)
+        if any(c.ident == ident for c in self.pending):
+            self.pending = deque(c for c in self.pending if c.ident != ident)
+
     # ---- receiving ----------------------------------------------------------------------------
 
     def messages(self, buffer: Buffer) -> Iterator[Message | bytes]:
@@ -144,6 +150,8 @@
     def _message(self, words: list[bytes], body: bytes) -> Iterator[Message | bytes]:
         verb = words[0]
         if verb in (b"finished", b"blocked"):
+            if len(words) != (6 if verb == b"finished" else 4):
+                raise Malformed(f"{verb[:20]!r}: fields")
             notice, ident = number(words, 1), words[2]
             if notice <= self.last:  # applied already: the replay of a new link overlaps what was read
                 return
@@ -152,7 +160,7 @@
                 self.calls[ident] = notice
                 yield Blocked(ident, notice, body)
             else:
-                self.calls.pop(ident, None)
+                self.forget(ident)
                 yield Finished(ident, words[3], self._real(words, 4) / 1000, body)
         elif verb == b"polled":
             tag = number(words, 1)
@@ -177,8 +185,7 @@
                 raise Malformed("unknown: field missing")
             yield Unknown(words[1], words[2])
         elif verb == b"chatter":
-            if len(words) > 1 and words[1].isdigit():
-                self.last = max(self.last, int(words[1]))
+            pass  # its number counts for nothing: taken as read, it could hide a notice under the same one
         else:
             raise Malformed(f"{verb[:20]!r}: no such message")
 
