--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -54,7 +54,7 @@
     READ_WAIT = 2.0  # a request comes whole within this, from its first byte or the connection's start
     YOUNG = 0.1  # a connection just made is about to send its request
     BACKLOG = 1024
-    ACCEPTS = 16  # at one turn of the loop: a flood must not run past the limit before it is counted
+    ACCEPTS = 4  # at one turn of the loop: a flood must not run far past the limit before it is counted
 
     def __init__(self, listen: str, make: Callable[[Listener], ServerConnection],
                  idle_after: Callable[[], float], most: int) -> None:
