Use any idle index connection but the one a call's request used last

Seen: 6313 connections for some 12000 calls; a request's next call met the connection of its call before at the head of the idle list and made a new one (net/index.py).

--- a/saltcart/net/index.py
+++ b/saltcart/net/index.py
@@ -113,11 +113,9 @@
 
     def _begin(self, call: Call) -> None:
         loop = asyncio.get_running_loop()
-        # The proxy may have forgotten an idle connection: its reset could not be told from one that comes
-        # after the call has run.  What must run once never takes that chance.
-        if self.idle and not call.once and call.ident != self.idle[-1].last and (
-                self.idle[-1].used > loop.time() - REUSE):
-            self._write(call, self.idle.pop())
+        found = None if call.once else self._rested(call.ident, loop.time() - REUSE)
+        if found is not None:
+            self._write(call, found)
         elif self._full() and not self.idle:
             self.waiting.append(call)
         else:
@@ -127,6 +125,19 @@
             self.tasks.add(call.task)
             call.task.add_done_callback(self.tasks.discard)
 
+    def _rested(self, ident: bytes, since: float) -> IndexConnection | None:
+        """An idle connection that is good for this call, taken off the list.
+
+        The proxy may have forgotten one: its reset could not be told from one that comes after the call has
+        run.  So those used last come first, and what must run once takes none.
+        """
+        for n in range(len(self.idle) - 1, -1, -1):
+            if self.idle[n].used < since:
+                break
+            if self.idle[n].last != ident:
+                return self.idle.pop(n)
+        return None
+
     async def _connect(self, call: Call) -> None:
         outcome, connection = Outcome.BROKEN, None
         for wait in (*REFUSED_WAITS, 0.0):
