--- a/saltcart/admin/server.py
+++ b/saltcart/admin/server.py
@@ -16,15 +16,13 @@
         self.api, self.parser = api, http1.RequestParser(MAX_BODY)
 
     def received(self) -> None:
-        self.touch()
-        if self.began is None:
-            self.began = self.used
+        self.awaits()
         try:
             while self.transport is not None and not self.transport.is_closing():
                 request = self.parser.next(self.buffer)
                 if request is None:
                     return
-                self.began = None if not len(self.buffer) else self.used
+                self.rests()
                 status, body, fields = self.api.handle(
                     request.method.decode("latin-1"), request.target.decode("latin-1"), request.headers,
                     request.body)
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -25,7 +25,7 @@
 from saltcart.net.upstreams import Upstreams
 
 ADMIN_IDLE, ADMIN_CONNECTIONS = 30.0, 16
-RESERVE = 48  # descriptors for the pool, announce service, listeners, logs, the loop, and closes under way
+RESERVE = 56  # descriptors for the pool, announce service, listeners, logs, the loop, and closes under way
 CALLS = 64  # connections to the index, at most and as far as a sixth of the descriptors goes
 
 
--- a/saltcart/front/ajp.py
+++ b/saltcart/front/ajp.py
@@ -23,8 +23,8 @@
             case None:
                 return False
             case ajp.Ping():
-                self.began = None
                 self.send(ajp.CPONG_PACKET)
+                self.rests()
             case ajp.MoreBody(data):
                 self.send(data)
             case ajp.ForwardRequest():
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -36,6 +36,7 @@
         super().__init__(listener)
         self.service = service
         self.number, self.keep_alive = 0, True
+        self.open = False  # a whole request was read and its answer is owed
         self.taking = False  # the core is being given a request: an answer at once goes on in the same turn
         self.ending = False  # an answer was given that ends the connection
 
@@ -51,23 +52,21 @@
         """Whether a part of a request is here."""
         return len(self.buffer) > 0
 
-    def busy(self) -> bool:
-        return self.open or self.partial()
-
     def able(self) -> bool:
         """Whether a further request may be read: one at a time, and none for a peer that reads no answers."""
-        return not self.open and self.blocked is None and not self.ending and (
+        return not self.open and self not in self.listener.blocked and not self.ending and (
             self.transport is not None and not self.transport.is_closing())
 
     def received(self) -> None:
-        self.touch()
-        if self.began is None and not self.open:
-            self.began = self.used
+        if not self.open:
+            self.awaits()
         try:
             for _ in range(AT_ONCE):
                 if not self.able():
                     break
                 if not self.step():
+                    if self.partial():  # its time runs, whatever was answered before it
+                        self.awaits()
                     return
             else:
                 self.again()
@@ -105,19 +104,20 @@
             return
         self.keep_alive, self.ending = False, True
         self.write(status, why)
+        self.awaits()  # it may make way for others
         self.transport.pause_reading()
         self.transport.write_eof()
         self.listener.loop.call_later(LINGER, self.abort)
 
     def respond(self, status: int, body: bytes = b"", fields: Fields = ()) -> None:
-        self.touch()
         self.write(status, body, fields)
+        self.rests()
         if not self.keep_alive:
             self.close()
 
     def dispatch(self, method: bytes, target: bytes, headers: Mapping[bytes, bytes], body: bytes) -> None:
         """One whole request of either front."""
-        self.began = None
+        self.carries()
         path = target.partition(b"?")[0]
         if path == b"/ping":
             hint = answer_fields(Answer(Verdict.SERVED, hint=self.service.hint))
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -5,42 +5,49 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from itertools import takewhile
 
 from saltcart.net.base import Connection, address
 
 
 class ServerConnection(Connection):
-    """An accepted connection, known to its listener."""
+    """An accepted connection, known to its listener, which it tells whether it awaits, carries or rests."""
 
     def __init__(self, listener: Listener, limit: int = 16384) -> None:
         super().__init__(limit)
         self.listener = listener
-        self.used = 0.0
-        self.open = False  # a whole request was read and its answer is owed
-        # Since when the next request is awaited or half here; None on a connection that rests after one.
-        self.began: float | None = None
-        self.blocked: float | None = None  # since when the peer has not read what it was sent
+        self.since = 0.0  # when it began to await a whole request, or to rest after one
 
     def opened(self) -> None:
-        self.touch()
-        self.began = self.used
         self.listener.add(self)
 
-    def touch(self) -> None:
-        self.used = self.listener.loop.time()
-
     def closed(self) -> None:
-        self.listener.connections.discard(self)
+        self.listener.remove(self)
+
+    def awaits(self) -> None:
+        """The next request is expected or half here; its time to come whole runs from the first such call."""
+        if self not in self.listener.awaiting:
+            self._enter(self.listener.awaiting)
+
+    def carries(self) -> None:
+        """A whole request was read."""
+        self.listener.leave(self)
+
+    def rests(self) -> None:
+        """The request is answered and no other has begun."""
+        self._enter(self.listener.resting)
+
+    def _enter(self, where: dict[ServerConnection, None]) -> None:
+        self.listener.leave(self)
+        if self in self.listener.connections:
+            self.since = self.listener.loop.time()
+            where[self] = None
 
     def pause_writing(self) -> None:
-        self.blocked = self.listener.loop.time()
+        self.listener.blocked[self] = self.listener.loop.time()
 
     def resume_writing(self) -> None:
-        self.blocked = None
-
-    def busy(self) -> bool:
-        """Whether a request is open, or partly here, on this connection."""
-        return len(self.buffer) > 0
+        self.listener.blocked.pop(self, None)
 
     def expire(self) -> None:
         """The next request has not come whole in its time."""
@@ -52,15 +59,19 @@
 
     SWEEP = 0.25
     READ_WAIT = 2.0  # a request comes whole within this, from its first byte or the connection's start
-    YOUNG = 0.1  # a connection just made is about to send its request
+    YOUNG = 0.25  # a connection just made is about to send its request
     BACKLOG = 1024
-    ACCEPTS = 4  # at one turn of the loop: a flood must not run far past the limit before it is counted
+    ACCEPTS = 8  # at one turn of the loop: a flood must not run far past the limit before it is counted
 
     def __init__(self, listen: str, make: Callable[[Listener], ServerConnection],
                  idle_after: Callable[[], float], most: int) -> None:
         self.listen, self.make, self.idle_after, self.most = address(listen), make, idle_after, most
         self.loop = asyncio.get_running_loop()
         self.connections: set[ServerConnection] = set()
+        # Both in the order of ``since``; a connection that carries a request is in neither.
+        self.awaiting: dict[ServerConnection, None] = {}
+        self.resting: dict[ServerConnection, None] = {}
+        self.blocked: dict[ServerConnection, float] = {}  # since when the peer reads nothing
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -94,26 +105,45 @@
         self.timer = self.loop.call_later(self.SWEEP, self._sweep)
 
     def add(self, new: ServerConnection) -> None:
-        """Near the descriptor limit another makes way: one that never sent a request, or rested longest."""
-        if len(self.connections) >= self.most:
-            idle = [c for c in self.connections if not c.busy()]
-            if not idle:
-                new.abort()  # nothing of it was read: whoever it is may come again
-                return
-            young = self.loop.time() - self.YOUNG
-            min(idle, key=lambda c: (c.began is None or c.used > young, c.used)).abort()
+        """Near the descriptor limit another makes way: one that sends no request, or the one longest at rest.
+
+        It is out of the account at once, for its end is only told some turns later: in a flood the same one
+        would make way for all that come meanwhile.
+        """
+        if len(self.connections) >= self.most and not self._make_way():
+            new.abort()  # nothing of it was read: whoever it is may come again
+            return
         self.connections.add(new)
+        new.awaits()
+
+    def _make_way(self) -> bool:
+        slow = next(iter(self.awaiting), None)
+        if slow is None or (self.resting and slow.since > self.loop.time() - self.YOUNG):
+            slow = next(iter(self.resting), None)
+        if slow is None:
+            return False
+        self.remove(slow)
+        slow.abort()
+        return True
+
+    def leave(self, connection: ServerConnection) -> None:
+        self.awaiting.pop(connection, None)
+        self.resting.pop(connection, None)
+
+    def remove(self, connection: ServerConnection) -> None:
+        self.leave(connection)
+        self.blocked.pop(connection, None)
+        self.connections.discard(connection)
 
     def _sweep(self) -> None:
         now = self.loop.time()
-        oldest, stuck = now - max(self.SWEEP, self.idle_after()), now - self.READ_WAIT
-        for c in list(self.connections):
-            if c.blocked is not None and c.blocked < stuck:
-                c.abort()
-            elif c.open:
-                continue
-            elif c.began is not None and c.began < stuck:
-                c.expire()
-            elif c.began is None and c.used < oldest:
-                c.close()
+        stuck, oldest = now - self.READ_WAIT, now - max(self.SWEEP, self.idle_after())
+        for connection in list(takewhile(lambda c: c.since < stuck, self.awaiting)):
+            self.leave(connection)
+            connection.expire()
+        for connection in list(takewhile(lambda c: c.since < oldest, self.resting)):
+            self.leave(connection)
+            connection.close()
+        for connection in [c for c, since in self.blocked.items() if since < stuck]:
+            connection.abort()
         self._again()
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -38,6 +38,7 @@
     ("http", HEAD + b"Content-Length: 5\r\n\r\nab", b"HTTP/1.1 408"),
     ("http", HEAD + b"Content-Length: 60000000\r\n\r\n" + b"x" * 200_000, b"HTTP/1.1 413"),
     ("http", HEAD + b"A: " + b"x" * 200_000, b"HTTP/1.1 431"),
+    ("http", b"GET /ping HTTP/1.1\r\n\r\n" + HEAD, b"HTTP/1.1 200"),
     ("ajp", b"", b""), ("ajp", FORWARD[:9], b"AB"), ("ajp", FORWARD, b"AB"),
     ("ajp", FORWARD + ajp.body_packet(b"ab"), b"AB"), ("ajp", b"\x12\x34\xff\xff", b"AB")])
 def test_what_never_becomes_a_request_is_refused_or_closed_in_time(
@@ -86,7 +87,9 @@
             listener = app.listeners[0]
             good = await HttpClient(app.addresses["http"]).open()
             assert (await good.ask(1)).status == 200
-            crowd = [await HttpClient(app.addresses["http"]).open() for _ in range(3 * listener.most)]
+            crowd = await asyncio.gather(*(  # at once: those that make way are told of some turns later
+                HttpClient(app.addresses["http"]).open() for _ in range(3 * listener.most)))
+            await until(lambda: not listener.resting and len(listener.awaiting) == listener.most)
             assert len(listener.connections) <= listener.most < 64 - 24
             late = await HttpClient(app.addresses["http"]).open()
             assert (await late.ask(2)).status == 200
@@ -107,10 +110,10 @@
             for _ in range(2000):
                 client.writer.write(ping)
                 await asyncio.sleep(0)
-                if served.blocked is not None:
+                if served in app.listeners[0].blocked:
                     break
             assert served.transport is not None
-            assert served.blocked is not None and served.transport.get_write_buffer_size() < 1 << 17
+            assert served in app.listeners[0].blocked and served.transport.get_write_buffer_size() < 1 << 17
             client.drop()
 
     asyncio.run(play())
