--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -396,10 +396,7 @@
                     continue
                 if self.count[CALLING] + 1 <= max(1.0, self.call_cap) and now >= self.call_gate:
                     self.move(r, CALLING)
-                    left = r.aim - now
-                    if c.skip_worth > 0:  # a reply that leaves no time to use it is not worth waiting for
-                        left -= min(left / 2, max(0.1 * c.aim, self.run_time[k] / 2))
-                    self.out.append(Call(r.id, max(self.sweep, left)))
+                    self.out.append(Call(r.id, max(self.sweep, r.aim - now)))
                 elif c.skip_worth > 0 and (self.call_cap < self.call_top or now - r.went > SKIP_AT * c.aim):
                     self.resume(now, r, skip=True)
                 else:
