--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -24,6 +24,7 @@
 from saltcart.net.pool import PoolLink
 from saltcart.net.upstreams import Upstreams
 
+MOST_KEYS, ENTRY_KB = 4096, 5.5  # a result has 4 KiB at most
 ADMIN_IDLE, ADMIN_CONNECTIONS = 30.0, 16
 RESERVE = 56  # descriptors for the pool, announce service, listeners, logs, the loop, and closes under way
 CALLS = 64  # connections to the index, at most and as far as a sixth of the descriptors goes
@@ -41,7 +42,9 @@
             settings = replace(settings, tenants=specs(deployment.tenants))
         if hosted:  # no tenant spends another's share: what is past its quota is worth nothing
             settings = replace(settings, over_quota_worth=0.0)
-        self.service = Service(settings, conf.gauges, conf.seed, clock, log)
+        # A quarter of the memory, at most, holds keys with their results.
+        most_keys = min(MOST_KEYS, int(conf.memory_mb * 1024 / 4 / ENTRY_KB))
+        self.service = Service(settings, conf.gauges, conf.seed, clock, log, most_keys)
         self.service.hosted = hosted
         self.listeners: list[Listener] = []
         self.addresses: dict[str, str] = {}
--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -234,7 +234,7 @@
             self.run_time[r.k] += (0.1 if self.run_time[r.k] else 1.0) * (took - self.run_time[r.k])
         if r.id in self.kept:
             self.kept[r.id] = ok
-        if r.state == ON_CORE:
+        if r.state == ON_CORE and ev.outcome is not Outcome.MOOT:  # what never ran tells nothing of the cores
             self.climber.done, self.last_done = self.climber.done + 1, now
         r.answered |= ev.outcome in (Outcome.OK, Outcome.ERROR)
         if r.state != JOINED:
@@ -440,6 +440,9 @@
             self.waits, self.starts = [0.0] * len(self.waits), [0] * len(self.starts)
             self.low = self.thin_first()
             self.arrivals = [0.9 * a for a in self.arrivals]
+            for k, queue in enumerate(self.queues):
+                if len(queue) > 2 * self.held[k] + 32:  # ended ones of a class that is never drawn
+                    self.queues[k] = deque(r for r in queue if r.id in self.live)
         self.grant(now)
 
     def gauge_pressure(self, now: float) -> None:
--- a/saltcart/config.py
+++ b/saltcart/config.py
@@ -41,6 +41,7 @@
     seed: int
     stop_after: float  # seconds from the notice to the kill
     sockets: int
+    memory_mb: float
     settings: Settings
     gauges: tuple[str | None, ...]  # names of the pool's gauges, in their order; None for a new one
 
@@ -60,6 +61,7 @@
         return Config(
             environment.get("BALANCER_NAME") or f.text("name"), place(f, "listen"), pool, announce, index,
             int(seed, 16), f.number("stop_ms", 5000.0) / 1000, limits.integer("sockets", 1024, low=64),
+            limits.number("memory_mb", 192.0, low=1),
             read_settings(wire), tuple(g if g in GAUGES else None for g in names))
     except (WireError, ValueError) as error:
         raise ConfigError(str(error)) from None
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -23,7 +23,8 @@
 UNSERVED_BACK_OFF = 0.25  # where the core itself refuses: no pool yet, or no room for a key
 SURPLUS = 15.0  # nothing of a request that was answered is waited for longer than this past its due time
 AFTER_FAULT = 0.1  # the module's timer rings again this long after a fault in it
-LOST_GRACE = 2.0  # an answered run that was told to stop and is not heard of is taken off the books
+INSIST = 1.0  # an answered run that was told to stop is told again: cores that stand still stop nothing
+GAUGES_LAST = 1.0  # gauges polled longer ago than this tell nothing of now
 
 
 class Unacceptable(Exception):
@@ -62,7 +63,7 @@
     def __init__(self, settings: i.Settings, gauge_names: tuple[str | None, ...], seed: int,
                  clock: Callable[[], float], log: Log, max_keys: int = 4096) -> None:
         self.settings, self.seed, self.clock, self.log = settings, seed, clock, log
-        self.gauge_names, self.gauge_values = gauge_names, dict[str, float]()
+        self.gauge_names, self.gauge_values, self.gauges_at = gauge_names, dict[str, float](), 0.0
         self.klass = {c.name: n for n, c in enumerate(settings.classes)}
         self.tenant = {t.name: n for n, t in enumerate(settings.tenants)}
         self.hosted = False  # tenants are the administration's: without one there is no service
@@ -239,6 +240,7 @@
         self.run_ended(ident, i.Outcome.ERROR, 0.0, b"")
 
     def gauges(self, values: tuple[float, ...]) -> None:
+        self.gauges_at = self._read_clock()
         self.gauge_values = {name: value for name, value in zip(self.gauge_names, values) if name}
 
     def call_ended(self, ident: bytes, outcome: i.Outcome, reply: bytes) -> None:
@@ -321,7 +323,7 @@
             r.stopped = True
             self.runs.suspend(r.ask.ident)
             if r.reply is None:
-                self.timers.at(self.now + LOST_GRACE, self._write_off, r.number)
+                self.timers.at(self.now + INSIST, self._insist, r.number)
 
     def _turn_away(self, a: i.TurnAway) -> None:
         r = self.requests.get(a.id)
@@ -400,6 +402,8 @@
 
     def _ring(self, token: int) -> None:
         """The gauges are those last polled: a timer never waits for the pool."""
+        if self.now > self.gauges_at + GAUGES_LAST:
+            self.gauge_values = {}  # the link is away: idle cores of long ago must not let in more work
         self._feed(i.Woken(token, **self.gauge_values))
         self.runs.poll()
 
@@ -416,12 +420,13 @@
             self._give_up_call(r)
             self.call_ended(r.ask.ident, i.Outcome.BROKEN, b"")  # not even word that its time is over
 
-    def _write_off(self, number: int) -> None:
-        """A run that was told to stop is not heard of: it must not hold a slot for ever."""
+    def _insist(self, number: int) -> None:
+        """It still has its slot and its memory in the pool, so it stays on the books until it is heard of."""
         r = self.requests.get(number)
         if r is not None and r.stopped and r.state is State.RUNNING:
-            self.log("written-off", id=r.ask.ident.decode())
-            self.run_ended(r.ask.ident, i.Outcome.CANCELLED, 0.0, b"")
+            self.log("stop-unheard", id=r.ask.ident.decode())
+            self.runs.suspend(r.ask.ident)
+            self.timers.at(self.now + INSIST, self._insist, number)
 
     def _answer_all(self) -> None:
         for r in list(self.requests.values()):
--- a/saltcart/net/announcer.py
+++ b/saltcart/net/announcer.py
@@ -17,7 +17,7 @@
 class ReportConnection(Connection):
     def __init__(self) -> None:
         super().__init__()
-        self.parser = http1.ResponseParser(65536)
+        self.parser = http1.ResponseParser(4096)
         self.answer: asyncio.Future[http1.Response] = asyncio.get_running_loop().create_future()
 
     def received(self) -> None:
--- a/saltcart/net/index.py
+++ b/saltcart/net/index.py
@@ -24,6 +24,7 @@
 REFUSED_WAITS = (0.02, 0.05)  # a proxy that refuses is asked again: calls must not spin
 REUSE, IDLE = 0.5, 2.0  # used again within the first, closed after the second: the proxy may forget idle ones
 SWEEP = 0.5
+STALL = 0.25  # a reply that has begun comes whole; its sender is on the same machine
 
 
 class Call:
@@ -42,6 +43,7 @@
         super().__init__()
         self.client, self.peer, self.parser = client, client.peer, wire.ReplyParser()
         self.call: Call | None = None
+        self.stall: asyncio.TimerHandle | None = None
         self.last = b""  # whose call it carried last: a second copy must not answer that one's next call
         self.used = 0.0
 
@@ -49,17 +51,29 @@
         self.client.connections.add(self)
 
     def received(self) -> None:
+        if self.stall is not None:
+            self.stall.cancel()
+            self.stall = None
         try:
             for reply in self.parser.messages(self.buffer):
                 # A second copy, or a reply to what was given up or never asked, stands for nothing.
                 if self.call is not None and reply.ident == self.call.ident:
                     self.client.ended(self.call, ENDS[reply.end], reply.body)
         except Malformed as error:
-            self.client.log("index-malformed", error=str(error))
-            self.abort()
-            self.client.lost(self)
+            self.spoilt(str(error))
+        else:
+            if self.parser.partial(self.buffer):  # a length that does not fit: what is missing never comes
+                self.stall = asyncio.get_running_loop().call_later(STALL, self.spoilt, "reply stands still")
+
+    def spoilt(self, why: str) -> None:
+        """Of no further use; the call under way has run."""
+        self.client.log("index-malformed", error=why)
+        self.abort()
+        self.client.lost(self)
 
     def closed(self) -> None:
+        if self.stall is not None:
+            self.stall.cancel()
         self.client.connections.discard(self)
         self.client.lost(self)
 
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -123,7 +123,7 @@
         if slow is None:
             return False
         self.remove(slow)
-        slow.abort()
+        slow.close()
         return True
 
     def leave(self, connection: ServerConnection) -> None:
--- a/saltcart/wire/index.py
+++ b/saltcart/wire/index.py
@@ -39,6 +39,10 @@
             raise Malformed("no such reply")
         return number(words, 2) if words[1] == b"HIT" else None
 
+    def partial(self, buffer: Buffer) -> bool:
+        """Whether a reply has begun and is not whole."""
+        return self.reader.words is not None or len(buffer) > 0
+
     def messages(self, buffer: Buffer) -> Iterator[Reply]:
         while (found := self.reader.next(buffer)) is not None:
             words, body = found
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -436,3 +436,25 @@
     desk.until(30.0)
     answered = {a.id for a in desk.said if isinstance(a, (i.TurnAway, i.Fail))}
     assert answered == set(range(1, 20))
+
+
+def test_ended_requests_of_a_class_that_is_never_drawn_are_let_go() -> None:
+    desk = Desk()
+    for n in range(1, 400):
+        desk.arrive(n)
+        if n > 2:  # the first two keep the cores
+            desk.send(i.Abandoned(n))
+        if n % 100 == 0:
+            desk.until(desk.now + 0.05)
+    assert sum(len(queue) for queue in desk.c.queues) > 200
+    desk.until(desk.now + 0.5)
+    assert sum(len(queue) for queue in desk.c.queues) < 100
+
+
+def test_what_never_ran_does_not_pass_for_work_done() -> None:
+    """Requests that the pool does not know must not hide cores on which nothing ends."""
+    desk = Desk()
+    for n in range(1, 300):
+        desk.arrive(n)
+        desk.finish(n, i.Outcome.MOOT)
+    assert desk.c.climber.done == 0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -230,3 +230,11 @@
     assert buffer.data is data and buffer.peek(20) == b"b" * 20 and buffer.start == 0
     with pytest.raises(Overflow):
         buffer.write(b"c" * 3000)
+
+
+def test_the_buffer_gives_back_what_one_long_message_took() -> None:
+    buffer = Buffer(16)
+    buffer.write(b"a" * 40_000)
+    buffer.take(40_000)
+    buffer.write(b"b")
+    assert len(buffer.data) <= 8192 and buffer.take(1) == b"b"
