A leaving server serves on for nine tenths of the grace before it asks callers away

Ruled out: CPU (0.25 of 0.7), descriptors, lost requests (none). The core still guards the grace itself.

--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -27,6 +27,7 @@
 CALL_TOP = 0.8  # of the share that the dependency survives: calls that were given up linger there
 CALL_FLOOR, SKIP_AT = 0.25, 0.1  # of that: about its slots; of the aim: a short queue is chance
 QUOTA_SPAN = 2.0  # aims' worth of its quota that a tenant may have run ahead
+TAKES = 0.9  # of the grace of a drain: what arrives in it still runs
 RECALLS = 2  # calls that break off under a request before it goes on without
 BACK_OFF = 0.05  # of the aim: how long a caller that was turned away is asked to stay away
 NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE)
@@ -138,6 +139,7 @@
         # Connections worth keeping (twice the crowd that the cores survive) over those there may be.
         self.reuse, self.close_said = min(1.0, 2 * s.crowd_limit * s.cores / max(1, s.callers)), s.idle
         self.no_more = self.stop_at = float("inf")  # nothing that arrives later runs; all is answered
+        self.going = False  # callers are asked to stay away for good
         share = s.call_share if s.below is Below.SHARED else None
         self.call_cap = self.call_top = float(s.cores) if share is None else max(1e-3, CALL_TOP * share)
         self.call_base = self.call_time = self.call_gate = self.call_cut = 0.0
@@ -249,10 +251,11 @@
         self.close(r, self.s.classes[r.k].effect is not Effect.KEYED or now > r.aim)
 
     def leaving(self, now: float, ev: Leaving) -> None:
-        self.no_more = now + self.s.drain_grace / 2
+        # Its cores are warm and callers learn of it late: it serves on for nearly all of the grace, and asks
+        # them away only as long before that as half of them take to forget it.
+        self.no_more = now + TAKES * self.s.drain_grace
         self.stop_at = now + max(0.0, ev.within - 3 * self.sweep)
         self.out += Health(False, True), Note(f"draining, stop in {ev.within:.2f} s")
-        self.advise(1.0, leaving=True)
 
     def tenants(self, now: float, ev: Tenants) -> None:
         self.s = replace(self.s, tenants=ev.tenants)
@@ -264,7 +267,7 @@
         if not r.answered:
             r.answered, refuse = True, refuse and not r.ran
             # Callers are told when to come back: soon, for pressure moves fast, but not to one that leaves.
-            stay = min(self.s.max_stay_away, self.aim * (BACK_OFF if self.stop_at == float("inf") else 1.0))
+            stay = min(self.s.max_stay_away, self.aim * (1.0 if self.going else BACK_OFF))
             self.out.append(TurnAway(r.id, self.advised > 0.2, stay) if refuse else Fail(r.id))
         self.close(r, True)
 
@@ -460,8 +463,8 @@
         self.pressure = max(0.0, min(1.0, low)) + max(0.0, min(1.0, high))
         pace = 2 * self.sweep / self.aim if self.pressure < self.advised else 4 * self.sweep / self.aim
         self.advised += min(1.0, pace) * (self.pressure - self.advised)
-        if self.stop_at == float("inf"):
-            self.advise(self.advised)
+        self.going = now >= min(self.no_more, self.stop_at - self.aim) - self.s.heard_for / 2
+        self.advise(1.0 if self.going else self.advised, self.going)
         # Many callers seldom return, but their idle connections take cores: close them.  Under pressure let
         # the table fill: a caller that gets no connection costs nothing, one that is read and refused much.
         after = self.s.idle * self.reuse ** (1 - min(1.0, self.advised))
