--- a/tests/test_ajp.py
+++ b/tests/test_ajp.py
@@ -162,3 +162,27 @@
             await until(lambda: not app.service.requests)
 
     asyncio.run(play())
+
+
+HEADERS = ajp.packet(ajp.FROM_CONTAINER, b"\x04" + ajp.integer(200) + ajp.text(b"OK") + ajp.integer(0))
+CHUNK = ajp.packet(ajp.FROM_CONTAINER, b"\x03" + ajp.text(b"x" * 4000))
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"", b"noise", b"AB\xff\xff", b"\x12\x34\x00\x01\x05", HEADERS + CHUNK * 9, HEADERS + HEADERS,
+    HEADERS + CHUNK[:9], ajp.packet(ajp.FROM_CONTAINER, b"\x04\x00\xc8\x00\x09O"), ajp.CPONG_PACKET * 2])
+def test_a_members_spoilt_answer_ends_its_connection_and_what_must_run_once(spoilt: bytes) -> None:
+    """Noise, wrong lengths, endless bodies, silence: the run fails, and the next has a new connection."""
+    answers = [spoilt, container_answer(200, b"good")]
+
+    async def act(_: ajp.ForwardRequest) -> bytes:
+        return answers.pop(0)
+
+    async def play() -> None:
+        async with AjpServer(act) as server, running(upstream(server.address)) as app:
+            client = await HttpClient(app.addresses["http"]).open()
+            assert (await client.ask(1, "oddaja", key="k", budget="500")).status == 500
+            assert (await client.ask(2, "oddaja", key="other")).body == b"good"
+            assert len(server.seen) == 2 and len(server.writers) == 2
+
+    asyncio.run(play())
