--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -352,8 +352,8 @@
         elif ev.outcome is Outcome.TIMEOUT:
             self.call_gate = now + self.s.call_linger  # it may stay in the dependency's hands
         # Calls that swell tell of a crowded or slow dependency, whatever the cause: back off.
-        # One that failed or broke off tells of one server or link: fewer calls would be kinder to nobody.
-        if ev.outcome in (Outcome.REJECTED, Outcome.TIMEOUT) or self.call_time > 3 * self.call_base:
+        # One that broke off tells of a link, not of a crowd.
+        if ev.outcome not in (Outcome.OK, Outcome.BROKEN) or self.call_time > 3 * self.call_base:
             if now > self.call_cut:
                 self.call_cap = max(CALL_FLOOR * self.call_top, self.call_cap * 0.8)
                 self.call_cut = now + ev.took
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -466,9 +466,9 @@
 
 @pytest.mark.parametrize(("outcome", "cut"), [
     (i.Outcome.REJECTED, True), (i.Outcome.TIMEOUT, True),
-    (i.Outcome.ERROR, False), (i.Outcome.BROKEN, False)])
+    (i.Outcome.ERROR, True), (i.Outcome.BROKEN, False)])
 def test_only_signs_of_a_crowd_cut_the_calls(outcome: i.Outcome, cut: bool) -> None:
-    """One failing server below must not keep the calls from those that serve."""
+    """A link that broke must not keep the calls from a tier that serves."""
     desk = Desk(replace(CALLS, below=i.Below.TIER))
     desk.arrive(1)
     desk.send(i.AtCall(1))
