Operators call a second address: check, vars, drain-on, drain-off

Ruled out: the health check itself, which follows `Service.healthy`; nothing could set it from outside.

Design: a front of its own (front/control.py, wire/control.py) over two new calls of the core, `withdraw` and `counts_by_class`. A path on the clients' address was not taken: it would queue behind their floods and share their descriptors; the second address has its own 24 connections, and the longest silent one makes way there. The drain touches health checks and the announce report alone: what arrives meanwhile is served as always. Counters are the core's own, given where the one final answer is given and where a run is handed over. With no `control` in the configuration nothing listens.

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -16,6 +16,8 @@
 from saltcart.core.service import Service
 from saltcart.deployment import Deployment
 from saltcart.front.ajp import AjpConnection
+from saltcart.front.control import CONNECTIONS as CONTROL_CONNECTIONS
+from saltcart.front.control import ControlConnection
 from saltcart.front.http import HttpConnection
 from saltcart.net.announcer import Announcer
 from saltcart.net.clock import Ticker
@@ -61,6 +63,8 @@
         most = max(8, conf.sockets - RESERVE - calls)
         if self.deployment.admin is not None:
             most = max(8, most - ADMIN_CONNECTIONS)
+        if conf.control:
+            most = max(8, most - CONTROL_CONNECTIONS)
         ajp_most = most // 3 if self.deployment.ajp is not None else 0
         if conf.announce:
             service.announce = self.announcer = Announcer(conf.announce, conf.name, self.log)
@@ -81,6 +85,10 @@
         await self._listen("http", Listener(
             conf.listen, lambda owner: HttpConnection(owner, service), lambda: service.idle_after,
             most - ajp_most))
+        if conf.control:
+            await self._listen("control", Listener(
+                conf.control, lambda owner: ControlConnection(owner, service, self.ready),
+                lambda: ADMIN_IDLE, CONTROL_CONNECTIONS))
         if (admin := self.deployment.admin) is not None:
             registry = Registry(self.deployment, service, self.upstreams,
                                 Path(admin.state) if admin.state else None)
@@ -99,6 +107,10 @@
         self.listeners.append(listener)
         self.log("listening", name=self.conf.name, front=name, address=self.addresses[name])
 
+    def ready(self) -> bool:
+        """Whether this process can serve."""
+        return self.service.controller is not None
+
     def leave(self) -> None:
         """The notice to drain; the listeners stay open, for what reaches them is still answered."""
         self.service.leave(self.conf.stop_after)
--- a/saltcart/config.py
+++ b/saltcart/config.py
@@ -38,6 +38,7 @@
     pool: str | None
     announce: str | None
     index: str | None
+    control: str | None  # where operators call
     seed: int
     stop_after: float  # seconds from the notice to the kill
     sockets: int
@@ -50,18 +51,20 @@
     """The platform's object; the name and address in the environment come first."""
     try:
         f = Fields(raw, "config")
-        if environment.get("BALANCER_LISTEN"):
-            f = Fields({**f.raw, "listen": environment["BALANCER_LISTEN"]}, "config")
-        pool, announce, index = (
-            None if f.raw.get(key) is None else place(f, key) for key in ("pool", "announce", "index"))
+        for key in ("listen", "control"):
+            if environment.get(f"BALANCER_{key.upper()}"):
+                f = Fields({**f.raw, key: environment[f"BALANCER_{key.upper()}"]}, "config")
+        pool, announce, index, control = (
+            None if f.raw.get(key) is None else place(f, key)
+            for key in ("pool", "announce", "index", "control"))
         limits = Fields(f.raw.get("limits") or {}, "config.limits")
         wire = f.part("settings")
         names = wire.part("extra").array("gauges", [])
         seed = f.text("seed", "0")
         return Config(
             environment.get("BALANCER_NAME") or f.text("name"), place(f, "listen"), pool, announce, index,
-            int(seed, 16), f.number("stop_ms", 5000.0) / 1000, limits.integer("sockets", 1024, low=64),
-            limits.number("memory_mb", 192.0, low=1),
+            control, int(seed, 16), f.number("stop_ms", 5000.0) / 1000,
+            limits.integer("sockets", 1024, low=64), limits.number("memory_mb", 192.0, low=1),
             read_settings(wire), tuple(g if g in GAUGES else None for g in names))
     except (WireError, ValueError) as error:
         raise ConfigError(str(error)) from None
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -79,11 +79,13 @@
         # A try may be read late: as long as its caller can wait at all.
         self.keys = KeyTable(max_keys, max(c.deadline for c in settings.classes))
         self.good, self.idle_after = True, settings.idle or 30.0
+        self.withdrawn = False  # the operators send callers away; what still comes is served as always
         self.hint: float | None = None
         self.drain_at: float | None = None
         self.stop_at = float("inf")
         self.events, self.busy = deque[i.Event](), False
         self.counts = Counter[tuple[str, str, str]]()  # by tenant, class and verdict
+        self.relayed = Counter[str]()  # runs handed over, by class
         self.actions: dict[type, Callable[..., None]] = {
             i.Run: self._run, i.Stop: self._stop, i.TurnAway: self._turn_away, i.Fail: self._fail,
             i.Call: self._call, i.SkipCall: self._skip, i.Keep: self._keep, i.Release: self._release,
@@ -108,7 +110,7 @@
 
     @property
     def healthy(self) -> bool:
-        return self.controller is not None and self.good
+        return self.controller is not None and self.good and not self.withdrawn
 
     def arrive(self, ask: Ask, reply: Reply) -> int:
         """Take a request; ``reply`` is called with its answer, at once or later.  Returns its number."""
@@ -167,13 +169,23 @@
             return
         now = self._read_clock()
         self.drain_at, self.stop_at = now, now + within
-        if self.announce is not None:
-            self.announce.accepting(False)
+        self._announce()
         self.timers.at(self.stop_at - STOP_MARGIN, self._answer_all)
         self.log("drain", within=within, open=len(self.requests))
         if self.controller is not None:
             self._feed(i.Leaving(within))
 
+    def withdraw(self, on: bool) -> None:
+        """The operators' drain: checks are answered as bad while it lasts, and nothing else changes."""
+        self.withdrawn = on
+        self.log("drain-on" if on else "drain-off", open=len(self.requests))
+        if self.controller is not None:
+            self._announce()
+
+    def _announce(self) -> None:
+        if self.announce is not None:
+            self.announce.accepting(self.drain_at is None and not self.withdrawn)
+
     def set_tenants(self, tenants: tuple[i.TenantSpec, ...]) -> None:
         """Other tenants from now on; requests under way keep theirs."""
         self._read_clock()
@@ -194,8 +206,7 @@
         started = now - max(0.0, age)
         for action in self.controller.handle(started, i.Started()):
             self.actions[type(action)](action)
-        if self.announce is not None:
-            self.announce.accepting(self.drain_at is None)
+        self._announce()
         self.timers.at(now + 1.0, self._sweep_keys)
         if self.drain_at is not None:
             self._feed(i.Leaving(max(0.0, self.stop_at - now)))
@@ -297,6 +308,7 @@
                 self.events.append(i.Finished(a.id, i.Outcome.MOOT, 0.0))
                 return
             r.state = State.RUNNING
+            self.relayed[r.ask.klass] += 1
             self.runs.spawn(r.ask.ident, r.ask.klass, r.ask.account, r.ask.body,
                             r.spec.effect is not i.Effect.SAFE, r.due - self.now)
 
@@ -457,6 +469,17 @@
         account = r.ask.account if r.ask.account in self.tenant else ""
         self.counts[account, r.ask.klass, what] += 1
 
+    def counts_by_class(self) -> Counter[tuple[str, str]]:
+        """What became of requests, by class and verdict, whosoever they were."""
+        counts = Counter[tuple[str, str]]()
+        for (_, klass, what), count in self.counts.items():
+            counts[klass, what] += count
+        return counts
+
+    def open_requests(self) -> int:
+        """Requests whose answer is owed."""
+        return sum(r.reply is not None for r in self.requests.values())
+
     def _entry_held_by(self, r: Request) -> Entry | None:
         return self.keys.by_holder.get(r.number) if r.key is not None else None
 
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -12,7 +12,6 @@
 
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 CLOSE_ON_ANSWER = 0.25  # idle times below this end the connection with the answer, not after it
-LINGER = 0.2  # a client that still sends is left this long to read why it is cut off
 AT_ONCE = 8  # requests of one connection that are answered in one turn: a flood must not hold up the others
 Fields = tuple[tuple[str, str], ...]
 
@@ -105,9 +104,7 @@
         self.keep_alive, self.ending = False, True
         self.write(status, why)
         self.awaits()  # it may make way for others
-        self.transport.pause_reading()
-        self.transport.write_eof()
-        self.listener.loop.call_later(LINGER, self.abort)
+        self.end()
 
     def respond(self, status: int, body: bytes = b"", fields: Fields = ()) -> None:
         self.write(status, body, fields)
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -13,6 +13,8 @@
 class ServerConnection(Connection):
     """An accepted connection, known to its listener, which it tells whether it awaits, carries or rests."""
 
+    LINGER = 0.2  # a client that still sends is left this long to read why it is cut off
+
     def __init__(self, listener: Listener, limit: int = 16384) -> None:
         super().__init__(limit)
         self.listener = listener
@@ -49,6 +51,13 @@
     def resume_writing(self) -> None:
         self.listener.blocked.pop(self, None)
 
+    def end(self) -> None:
+        """End it once the peer had time to read what was written: bytes left unread would cost it that."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+            self.transport.write_eof()
+            self.listener.loop.call_later(self.LINGER, self.abort)
+
     def expire(self) -> None:
         """The next request has not come whole in its time."""
         self.close()
