The new process counts what the old one still runs on the same cores

Both processes filled all slots of the same cores and booked all of the memory (`Controller.fill`, `unwelcome`): the module knew only its own requests, and started with no measured run times.

Changed: the old process tells its load (`Beside`) and what it measured (`Learned`); slots, crowd ceiling, memory and the gauge of pressure count both processes. Figures that no release should send are refused (`wire.real`).

--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -14,9 +14,9 @@
 from typing import Any
 
 from saltcart.interface import (
-    Abandoned, Action, Advise, Arrived, AtCall, Below, Call, CallEnded, Effect, Event, Fail, Finished,
-    Health, IdleClose, Keep, Leaving, Note, Outcome, Preemption, Release, Run, Settings, Share, Signal,
-    SkipCall, Started, Stop, TenantSpec, Tenants, TurnAway, Wake, Woken,
+    Abandoned, Action, Advise, Arrived, AtCall, Below, Beside, Call, CallEnded, Effect, Event, Fail, Finished,
+    Health, IdleClose, Keep, Learned, Leaving, Note, Outcome, Preemption, Release, Run, Settings, Share,
+    Signal, SkipCall, Started, Stop, TenantSpec, Tenants, TurnAway, Wake, Woken,
 )
 
 GAIN_NOW, GAIN_BEFORE = 0.42, 0.1  # the paper's increments, after its Eq. 11
@@ -146,7 +146,8 @@
         self.on: dict[type, Callable[[float, Any], None]] = {
             Started: self.started, Arrived: self.arrived, Finished: self.finished, AtCall: self.at_call,
             Abandoned: self.abandoned, CallEnded: self.call_ended, Leaving: self.leaving, Woken: self.woken,
-            Tenants: self.tenants}
+            Tenants: self.tenants, Beside: self.beside, Learned: self.learned}
+        self.other = Beside()  # what the process before still runs here
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.out = []
@@ -198,7 +199,8 @@
             self.run_time[r.k], self.call_wait = FADE * self.run_time[r.k], FADE * self.call_wait
             return True
         if now >= min(self.stop_at, r.aim) or r.reach > self.no_more or (
-                self.memory + s.entry_kb * (c.effect is Effect.KEYED) + r.size > 0.9 * s.memory_kb):
+                self.memory + self.other.memory_kb + s.entry_kb * (c.effect is Effect.KEYED) + r.size
+                > 0.9 * s.memory_kb):
             return True
         n = len(s.classes)
         # Only where it is worth nothing: at a tenth of its worth, refusing it first lost 0.02 of the score.
@@ -262,6 +264,22 @@
         known = {t.name for t in ev.tenants}
         self.had = {name: had for name, had in self.had.items() if name in known}
 
+    def beside(self, now: float, ev: Beside) -> None:
+        self.other = ev
+
+    def learned(self, now: float, ev: Learned) -> None:
+        """Go on from what the process before has measured; of other classes it would tell nothing."""
+        if len(ev.run_time) == len(ev.arrivals) == len(self.s.classes):
+            self.run_time, self.arrivals = list(ev.run_time), list(ev.arrivals)
+            self.call_wait, self.call_time, self.call_base = ev.call_wait, ev.call_time, ev.call_base
+            self.climber.slots = ev.slots  # the next sweep holds it to its range
+
+    def told(self) -> tuple[Learned, Beside]:
+        """The same for whoever takes over from this one."""
+        return Learned(self.climber.slots, tuple(self.run_time), tuple(self.arrivals), self.call_wait,
+                       self.call_time, self.call_base), Beside(
+            self.count[ON_CORE], self.count[CALLING], self.memory)
+
     def end(self, r: Request, refuse: bool = False) -> None:
         """The one place where a final answer is sent; what has run is never refused."""
         if not r.answered:
@@ -299,13 +317,14 @@
 
     def fill(self, now: float) -> None:
         s, ceiling = self.s, 0.8 * self.climber.ceiling(now - self.begun)
-        while self.count[ON_CORE] < self.climber.slots and self.count[HELD]:
+        ceiling -= self.other.on_core + self.other.calling
+        while self.count[ON_CORE] + self.other.on_core < self.climber.slots and self.count[HELD]:
             k = self.draw()
             if k is None or self.count[ON_CORE] + self.count[CALLING] + 1 > ceiling:
                 return
             while (r := self.queues[k].popleft()).id not in self.live:  # ended while it was held
                 pass
-            if self.memory + r.size * (s.run_factor - 1) > 0.95 * s.memory_kb:
+            if self.memory + self.other.memory_kb + r.size * (s.run_factor - 1) > 0.95 * s.memory_kb:
                 self.queues[k].appendleft(r)
                 return
             if now + self.expected(k) > r.aim:
@@ -451,7 +470,7 @@
     def gauge_pressure(self, now: float) -> None:
         """How far the hold's expected wait is past what the aims can spare, 0 to 2."""
         mean = sum(a * t for a, t in zip(self.arrivals, self.run_time)) / max(1e-9, sum(self.arrivals))
-        if self.count[ON_CORE] >= self.climber.slots:
+        if self.count[ON_CORE] + self.other.on_core >= self.climber.slots:
             mean = max(mean, now - self.last_done)  # nothing ends: slow or hung, whatever the cause
         else:
             self.last_done = now
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -204,6 +204,15 @@
         self.heir = heir
         return list(self.keys.entries.values())
 
+    def told(self) -> tuple[i.Learned, i.Beside] | None:
+        """What the module has measured, and what it still has on the cores."""
+        return None if self.controller is None else self.controller.told()
+
+    def tell(self, event: i.Learned | i.Beside) -> None:
+        """The same of the process before."""
+        self._read_clock()
+        self._feed(event)
+
     def resume(self) -> None:
         """Whoever took over is gone: go on."""
         self.heir = None
@@ -231,6 +240,7 @@
     def bereave(self) -> None:
         """The process before is gone: a run of a key that it has not told the end of may have begun."""
         self._read_clock()
+        self._feed(i.Beside())
         for entry in [e for e in self.keys.entries.values() if e.holder < 0 and not e.over]:
             entry.over = True
             self._fail_joined(entry)
--- a/saltcart/interface.py
+++ b/saltcart/interface.py
@@ -191,6 +191,25 @@
     tenants: tuple[TenantSpec, ...]
 
 
+class Beside(NamedTuple):
+    """What another process of this server, which this one takes over from, still has on the same cores."""
+
+    on_core: int = 0
+    calling: int = 0
+    memory_kb: float = 0.0
+
+
+class Learned(NamedTuple):
+    """What the process before has measured here."""
+
+    slots: int
+    run_time: tuple[float, ...]  # by class
+    arrivals: tuple[float, ...]
+    call_wait: float
+    call_time: float
+    call_base: float
+
+
 class Woken(NamedTuple):
     """A timer is due; gauges may be absent."""
 
@@ -201,7 +220,8 @@
     sockets: float | None = None
 
 
-Event = Started | Arrived | Finished | Abandoned | AtCall | CallEnded | Leaving | Tenants | Woken
+Event = (Started | Arrived | Finished | Abandoned | AtCall | CallEnded | Leaving | Tenants | Beside | Learned
+         | Woken)
 
 
 # ---- actions --------------------------------------------------------------------------------
--- a/saltcart/succession.py
+++ b/saltcart/succession.py
@@ -18,6 +18,7 @@
 from saltcart.core.ports import Log
 from saltcart.core.service import Service
 from saltcart.front.connection import FrontConnection
+from saltcart.interface import Beside
 from saltcart.net.announcer import Announcer
 from saltcart.net.handover import Doorway, HandoverLink
 from saltcart.net.listener import Listener, ServerConnection
@@ -41,6 +42,7 @@
         self.after: HandoverLink | None = None
         self.given = asyncio.Event()  # the old process has told all
         self.retiring = False
+        self.load: Beside | None = None  # what the new process was told last
         self.looking: asyncio.TimerHandle | None = None
         self.attaching = set[asyncio.Task[None]]()
 
@@ -71,6 +73,8 @@
         match packet.say:
             case "entry" | "gone":
                 self.service.inherit(wire.to_entry(packet), packet.say == "gone")
+            case "learned" | "beside":
+                self.service.tell(wire.to_event(packet))
             case "yours":
                 self.given.set()
             case "connection" if fd is not None:
@@ -110,12 +114,15 @@
     def _give(self, link: HandoverLink, packet: wire.Packet) -> None:
         if packet.say != "take" or self.after is not None:
             raise Malformed("handover: not now")
-        self.after = link
+        self.after, self.load = link, None
         self.doorway.close()
         if self.announcer is not None:
             self.announcer.close()  # the entry is the new process's
         for entry in self.service.hand_over(self._tell):
             self._tell(entry, False)
+        if (told := self.service.told()) is not None:
+            link.send(wire.of_event(told[0]))
+        self._tell_load()
         link.send(wire.Packet("yours", {}))
         for listener in self.fronts.values():
             listener.stop_accepting()
@@ -127,6 +134,13 @@
         if self.after is not None:
             self.after.send(wire.of_entry(entry, gone))
 
+    def _tell_load(self) -> None:
+        """Both share the cores and the memory until this one has finished."""
+        told = self.service.told()
+        if self.after is not None and told is not None and told[1] != self.load:
+            self.load = told[1]
+            self.after.send(wire.of_event(self.load))
+
     def _pass(self, connection: ServerConnection, rest: bytes) -> None:
         """One connection with what was read of it; its descriptor here is closed."""
         assert self.after is not None and connection.transport is not None
@@ -136,6 +150,7 @@
         connection.abort()
 
     def _look(self) -> None:
+        self._tell_load()
         for listener in self.fronts.values():
             for connection in list(listener.connections):
                 if isinstance(connection, FrontConnection):
--- a/saltcart/wire/handover.py
+++ b/saltcart/wire/handover.py
@@ -7,6 +7,7 @@
 import orjson
 
 from saltcart.core.keys import Entry
+from saltcart.interface import Beside, Learned
 from saltcart.wire.errors import Malformed
 
 VERSION = 1
@@ -14,7 +15,7 @@
 
 
 class Packet(NamedTuple):
-    """``say`` is take, entry, gone, yours or connection; the other fields go with it."""
+    """``say`` is take, entry, gone, learned, beside, yours or connection; the other fields go with it."""
 
     say: str
     fields: dict[str, Any]
@@ -55,3 +56,26 @@
             bool(f["over"]), packet.data if f["good"] else None)
     except (KeyError, AttributeError, TypeError, ValueError) as error:
         raise Malformed(f"handover: {error!r}") from None
+
+
+def of_event(event: Learned | Beside) -> Packet:
+    return Packet("learned" if isinstance(event, Learned) else "beside", event._asdict())
+
+
+def to_event(packet: Packet) -> Learned | Beside:
+    f = packet.fields
+    try:
+        if packet.say == "beside":
+            return Beside(int(real(f["on_core"])), int(real(f["calling"])), real(f["memory_kb"]))
+        return Learned(
+            int(real(f["slots"])), tuple(map(real, f["run_time"])), tuple(map(real, f["arrivals"])),
+            real(f["call_wait"]), real(f["call_time"]), real(f["call_base"]))
+    except (KeyError, TypeError) as error:
+        raise Malformed(f"handover: {error!r}") from None
+
+
+def real(value: object) -> float:
+    """A figure of nought or more; what another release may send must not upset the module."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < 1e12:
+        raise Malformed("handover: not a figure")
+    return value
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -143,6 +143,31 @@
     assert not any(isinstance(a, i.TurnAway) for a in desk.arrive(52, tenant=1))
 
 
+def test_what_the_process_before_still_runs_shares_cores_and_memory() -> None:
+    """Two processes on the same cores and in the same memory: both at their own limit would break a rule."""
+    desk = Desk()
+    desk.send(i.Beside(on_core=1, memory_kb=0.0))
+    assert i.Run(1) in desk.arrive(1) and i.Run(2) not in desk.arrive(2)  # one of the two cores is taken
+    assert i.Run(2) in desk.send(i.Beside())
+    desk.send(i.Beside(memory_kb=9_500.0))
+    assert i.TurnAway(3, False, 0.0) in desk.arrive(3)
+
+
+def test_a_process_goes_on_from_what_the_one_before_has_measured() -> None:
+    before, after = Desk(), Desk()
+    for n in range(1, 9):
+        before.arrive(n)
+        before.now += 0.9
+        before.finish(n)
+    learned, beside = before.c.told()
+    assert learned.run_time[0] == pytest.approx(0.9) and beside == i.Beside(0, 0, 0.0)
+    after.send(learned)
+    assert after.c.run_time == before.c.run_time
+    assert any(isinstance(a, i.TurnAway) for a in after.arrive(1, unread_for=0.2))  # it can't meet its aim
+    after.send(learned._replace(run_time=(9.0,)))  # of other classes: tells nothing
+    assert len(after.c.run_time) == 2
+
+
 def test_cold_server_bears_a_smaller_crowd() -> None:
     climber = Climber(replace(BASE, cold=True, cold_from=0.25, cold_span=10.0))
     assert climber.ceiling(0.0) == pytest.approx(2 * 2.0)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -13,7 +13,7 @@
 
 from saltcart.core.keys import Entry
 from saltcart.deployment import AjpFront, Deployment
-from saltcart.interface import Outcome
+from saltcart.interface import Beside, Learned, Outcome
 from saltcart.wire import handover as wire
 from saltcart.wire.errors import Malformed
 from tests.fakes import World
@@ -51,6 +51,22 @@
                 wire.to_entry(wire.Packet("entry", wrong))
 
 
+LEARNED = Learned(4, (0.5, 0.25), (3.0, 1.0), 0.1, 0.2, 0.15)
+
+
+@pytest.mark.parametrize("event", [LEARNED, Beside(3, 1, 120.5)])
+def test_what_was_measured_is_told_and_read_alike(event: Learned | Beside) -> None:
+    assert wire.to_event(wire.decode(wire.encode(wire.of_event(event)))) == event
+
+
+@pytest.mark.parametrize(("name", "value"), [
+    ("slots", "4"), ("slots", -1), ("run_time", None), ("run_time", [float("nan")]), ("arrivals", [True]),
+    ("call_wait", 1e13), ("call_base", None)])
+def test_a_measure_out_of_its_form_is_malformed(name: str, value: object) -> None:
+    with pytest.raises(Malformed):
+        wire.to_event(wire.Packet("learned", {**LEARNED._asdict(), name: value}))
+
+
 # ---- the core's rules -------------------------------------------------------------------------
 
 
@@ -138,6 +154,7 @@
             await until(lambda: any(c.partial() for c in old.fronts["http"].connections))  # type: ignore[attr-defined]
             async with running(None, platform, pool=other.address) as new:
                 await until(lambda: len(new.fronts["http"].connections) == 2)
+                assert new.service.controller is not None and new.service.controller.other.on_core == 2
                 half.writer.write(b"lf")
                 assert (await half.answer()).body == b"done half"
                 assert (await idle.ask(4)).status == 200 and other.spawned == [ident(3), ident(4)]
@@ -152,6 +169,7 @@
                 pool.finish(ident(1))
                 assert (await busy.answer()).body == b"done x"
                 await asyncio.wait_for(done.wait(), 5)
+                await until(lambda: new.service.controller.other.on_core == 0)  # type: ignore[union-attr]
                 late = await HttpClient(address).open()
                 assert (await late.ask(7)).status == 200 and not old.fronts["http"].connections
 
