A move of the pool link leaves no run in doubt; idle members, half replies, long remarks

Read again beside PROTOCOL, each shown by a test that failed before: - `PoolLink.move` closed the old link at once on SIGHUP: a keyed spawn whose poll was on its way could not be repeated and failed, though nothing had gone wrong. The old link is now told nothing more, and heard until the poll's answer shows that the spawn arrived, 0.3 s at most. - `AjpUpstream` kept idle connections until the member closed them: after 10 s they are closed. - `IndexClient._rested` reused a connection with half a reply left over, which spoilt the next call's reply. - A remark longer than a line may be ended the pool's link, whose replay then brought the same remark again.

--- a/saltcart/net/ajp.py
+++ b/saltcart/net/ajp.py
@@ -20,6 +20,7 @@
 CONNECT_WAIT, PING_WAIT = 1.0, 0.5
 MAX_RESULT = 4096
 REFUSED = (429, 503)
+IDLE, SWEEP = 10.0, 1.0  # connections that rest longer are closed: a member may have forgotten them
 REST = 2.0  # a member that refused a connection is left alone this long, if others are there
 
 
@@ -47,6 +48,7 @@
         self.member, self.parser = member, ajp.ResponseParser(MAX_RESULT)
         self.answer: asyncio.Future[ajp.Response | ajp.Pong] | None = None
         self.body = b""  # what the member has not asked for yet
+        self.used = 0.0
 
     def received(self) -> None:
         try:
@@ -84,6 +86,7 @@
         self.members, self.ended, self.log = members, ended, log
         self.tasks: dict[bytes, asyncio.Task[None]] = {}
         self.closed = False
+        self.sweeper: asyncio.TimerHandle | None = None
 
     def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
         if ident not in self.tasks:
@@ -100,10 +103,22 @@
     def close(self) -> None:
         """Give back the connections that carry nothing; the others go when their runs end."""
         self.closed = True
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+        self._close_idle(0.0)
+
+    def _close_idle(self, age: float) -> None:
+        oldest = asyncio.get_running_loop().time() - age
         for member in self.members:
-            for connection in list(member.idle):
+            for connection in [c for c in member.idle if c.used <= oldest]:
+                member.idle.remove(connection)
                 connection.close()
 
+    def _sweep(self) -> None:
+        self._close_idle(IDLE)
+        resting = any(member.idle for member in self.members)
+        self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep) if resting else None
+
     def _done(self, ident: bytes, task: asyncio.Task[None]) -> None:
         self.tasks.pop(ident, None)
         if task.cancelled():  # before its first step: nobody has told of its end
@@ -172,8 +187,11 @@
             if not isinstance(answer, ajp.Response):
                 raise ConnectionResetError("a pong in the place of an answer")
             if answer.reuse and not (self.closed or connection.body or connection.transport is None):
+                connection.used = asyncio.get_running_loop().time()
                 member.idle.append(connection)
                 connection = None
+                if self.sweeper is None:
+                    self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
             return answer
         finally:
             member.open -= 1
--- a/saltcart/net/index.py
+++ b/saltcart/net/index.py
@@ -148,7 +148,8 @@
         for n in range(len(self.idle) - 1, -1, -1):
             if self.idle[n].used < since:
                 break
-            if self.idle[n].last != ident:
+            # What stands behind a good reply may spoil the next one.
+            if self.idle[n].last != ident and not self.idle[n].parser.partial(self.idle[n].buffer):
                 return self.idle.pop(n)
         return None
 
--- a/saltcart/net/pool.py
+++ b/saltcart/net/pool.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from saltcart.core.ports import Log, RunEvents
 from saltcart.interface import Outcome
 from saltcart.net.base import Link, LinkConnection, address
 from saltcart.wire import pool as wire
 from saltcart.wire.errors import Malformed
 
+DOUBT = 0.3  # an old link is heard this long on what it was told last, before the next one is opened
 ENDS = {b"PASS": Outcome.OK, b"FAIL": Outcome.ERROR, b"KILLED": Outcome.CANCELLED, b"NOOP": Outcome.MOOT}
 
 
@@ -31,6 +34,7 @@
             self.link.log("pool-malformed", error=str(error))
             self.link.session.lost()
             self.abort()
+        self.link.move_on()
 
     def closed(self) -> None:
         if self.current():
@@ -41,14 +45,39 @@
     def __init__(self, peer: str, events: RunEvents, log: Log) -> None:
         super().__init__("pool", peer, log)
         self.session, self.events = wire.Session(), events
+        self.next: str | None = None  # the address to move to
+        self.timer: asyncio.TimerHandle | None = None
 
     def make(self) -> LinkConnection:
         return PoolConnection(self)
 
     def move(self, peer: str) -> None:
-        if address(peer) != self.peer:
-            self.session.lost()  # what comes before the new link is bound waits for it
-        super().move(peer)
+        """Another address from now on: the old link is told nothing more.
+
+        It is only heard until it has shown that runs which must not start twice were asked for; what a link
+        leaves in doubt can't be asked for again and would fail.
+        """
+        if address(peer) == self.peer and self.next is None:
+            return
+        self.session.lost()  # what comes before the new link is bound waits for it
+        self.next = peer
+        if self.timer is None:
+            self.timer = asyncio.get_running_loop().call_later(DOUBT, self.move_on, True)
+        self.move_on()
+
+    def move_on(self, late: bool = False) -> None:
+        if self.next is None or (self.session.in_doubt() and self.connection is not None and not late):
+            return
+        peer, self.next = self.next, None
+        self.close()
+        self.peer = address(peer)
+        self.start()
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        super().close()
 
     def apply(self, message: wire.Message) -> None:
         match message:
--- a/saltcart/wire/lines.py
+++ b/saltcart/wire/lines.py
@@ -17,19 +17,24 @@
 
 
 class LineReader:
-    """``length_of`` gives the length of the body that follows a line, or None where none does."""
+    """``length_of`` gives the length of the body that follows a line, or None where none does.
 
-    def __init__(self, length_of: Callable[[list[bytes]], int | None]) -> None:
-        self.length_of = length_of
+    Lines that start with ``remark`` mean nothing, and may be of any length: none of a long one is kept.
+    """
+
+    def __init__(self, length_of: Callable[[list[bytes]], int | None], remark: bytes = b"") -> None:
+        self.length_of, self.remark = length_of, remark
         self.reset()
 
     def reset(self) -> None:
         self.words: list[bytes] | None = None  # of a line whose body is not whole yet
         self.length: int | None = None
+        self.skipping = False  # the rest of a long remark is still to come
 
     def next(self, buffer: Buffer) -> tuple[list[bytes], bytes] | None:
         """The next line with its body, once both are whole."""
         if self.words is None:
+            self._skip(buffer)
             try:
                 line = buffer.line(MAX_LINE)
             except ValueError as error:
@@ -49,3 +54,13 @@
                 raise Malformed("body without its end")
         words, self.words = self.words, None
         return words, body
+
+    def _skip(self, buffer: Buffer) -> None:
+        """Drop a remark that is longer than a line may be, as far as it is here."""
+        if not self.skipping and self.remark and len(buffer) > MAX_LINE and (
+                buffer.peek(len(self.remark)) == self.remark and not 0 <= buffer.find(b"\r\n") <= MAX_LINE):
+            self.skipping = True
+        if self.skipping:
+            at = buffer.find(b"\r\n")
+            self.skipping = at < 0
+            buffer.consume(at + 2 if at >= 0 else max(0, len(buffer) - 1))  # a CR may be its last byte
--- a/saltcart/wire/pool.py
+++ b/saltcart/wire/pool.py
@@ -76,7 +76,7 @@
         self.mark = 0  # polls sent so far
         self.pending: deque[Command] = deque()
         self.calls: dict[bytes, int] = {}  # notice of the call that each run waits for
-        self.reader = LineReader(self._length)
+        self.reader = LineReader(self._length, remark=b"chatter ")
         self.barrier = 0
 
     # ---- sending ------------------------------------------------------------------------------
@@ -90,6 +90,10 @@
     def lost(self) -> None:
         self.up = False
 
+    def in_doubt(self) -> bool:
+        """Whether a run that must not start twice was asked for, and nothing shows yet that this arrived."""
+        return any(c.once and c.written for c in self.pending)
+
     def _command(self, verb: bytes, ident: bytes, data: bytes, once: bool = False, notice: int = 0) -> bytes:
         self.pending.append(Command(self.mark, verb, ident, notice, once, self.up, data))
         return data if self.up else b""
--- a/tests/test_ajp.py
+++ b/tests/test_ajp.py
@@ -8,6 +8,7 @@
 
 from saltcart.deployment import AjpFront, Deployment, MemberConf, UpstreamConf
 from saltcart.interface import Outcome
+from saltcart.net import ajp as module
 from saltcart.net.ajp import AjpUpstream, Member
 from saltcart.wire import ajp
 from tests.standins import AjpClient, AjpServer, HttpClient, Pool, container_answer, running, until
@@ -42,6 +43,26 @@
     asyncio.run(play())
 
 
+def test_connections_to_a_member_rest_only_so_long(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A member may forget an idle connection, and each holds a descriptor."""
+    monkeypatch.setattr(module, "IDLE", 0.05)
+    monkeypatch.setattr(module, "SWEEP", 0.02)
+
+    async def act(_: ajp.ForwardRequest) -> bytes:
+        return container_answer(200, b"good")
+
+    async def play() -> None:
+        async with AjpServer(act) as server, running(upstream(server.address)) as app:
+            client = await HttpClient(app.addresses["http"]).open()
+            assert app.upstreams is not None
+            used = app.upstreams.by_name["u"]
+            for n in (1, 2):  # again after all were closed
+                assert (await client.ask(n)).body == b"good" and len(used.members[0].idle) == 1
+                await until(lambda: not used.members[0].idle and used.sweeper is None)
+
+    asyncio.run(play())
+
+
 def test_a_drop_in_mid_body_leaves_nothing_behind() -> None:
     async def play() -> None:
         async with Pool(auto=False) as pool, running(FRONT, pool=pool.address) as app:
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -9,6 +9,7 @@
 
 from saltcart.deployment import AjpFront, Deployment
 from saltcart.net import index
+from saltcart.net import pool as pool_link
 from saltcart.net.listener import Listener
 from saltcart.wire import ajp
 from tests.standins import HttpClient, Pool, Server, running, until
@@ -266,9 +267,66 @@
     asyncio.run(play())
 
 
+def test_a_connection_with_half_a_reply_left_over_carries_no_further_call() -> None:
+    links = dict[bytes, asyncio.StreamWriter]()
+    ended = list[tuple[bytes, str]]()
+
+    class Events:
+        def call_ended(self, ident: bytes, outcome: object, reply: bytes) -> None:
+            ended.append((ident, outcome.name))  # type: ignore[attr-defined]
+
+    async def proxy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := await reader.readline():
+            if line.startswith(b"GET"):
+                links[line.split()[1]] = writer
+                await reader.readline()
+
+    async def play() -> None:
+        async with Server(proxy) as proxied:
+            client = index.IndexClient(proxied.address, Events(), lambda *_, **__: None)
+            client.call(b"a", 9.0, b"?", False)
+            await until(lambda: b"a" in links)
+            links[b"a"].write(b"a HIT 1\r\n!\r\nhalf a re")
+            await until(lambda: ended == [(b"a", "OK")])
+            client.call(b"b", 9.0, b"?", False)
+            await until(lambda: b"b" in links)
+            assert links[b"b"] is not links[b"a"]
+            client.close()
+
+    asyncio.run(play())
+
+
 # ---- the pool ---------------------------------------------------------------------------------
 
 
+@pytest.mark.parametrize("shown", [True, False])
+def test_a_move_waits_until_no_run_is_in_doubt(shown: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A link left before its poll was answered leaves a spawn that can't be repeated: it would fail."""
+    monkeypatch.setattr(pool_link, "DOUBT", 10.0 if shown else 0.1)
+
+    async def play() -> None:
+        async with Pool(auto=False) as old, Pool(auto=False) as new, running(pool=old.address) as app:
+            client = await HttpClient(app.addresses["http"]).open()
+            assert app.pool is not None
+            old.quiet = True
+            client.send(1, "oddaja", key="k")
+            await until(lambda: old.spawned == [ident(1)])
+            mark = app.pool.session.mark
+            app.pool.move(new.address)
+            late = await HttpClient(app.addresses["http"]).open()
+            late.send(2)  # waits for the new link
+            if shown:
+                link(old).write(b"polled %d 0.5 1\r\n" % mark)
+            await until(lambda: new.spawned == [ident(2)])
+            assert old.spawned == [ident(1)]
+            if shown:
+                new.bodies.update(old.bodies)
+                new.finish(ident(1))
+            assert (await client.answer()).status == (200 if shown else 500)
+
+    asyncio.run(play())
+
+
 def test_a_link_that_breaks_in_a_notice_loses_nothing() -> None:
     """Notices in pieces, twice under one number, with remarks between them, and cut in the middle."""
     async def play() -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -148,6 +148,9 @@
     (b"finished 1 a KILLED 20 0\r\n\r\n" * 2, [pool.Finished(b"a", b"KILLED", 0.02, b"")]),
     (b"chatter 5 hm\r\nblocked 5 b 0\r\n\r\nblocked 6 b 0\r\n\r\n",
      [pool.Blocked(b"b", 5, b""), pool.Blocked(b"b", 6, b"")]),
+    (b"chatter 1 " + b"x" * 5000 + b"\r\nblocked 1 b 0\r\n\r\nchatter 2 " + b"y" * 1020
+     + b"\r\nblocked 2 b 0\r\n\r\n",
+     [pool.Blocked(b"b", 1, b""), pool.Blocked(b"b", 2, b"")]),  # a remark of any length means nothing
     (b"polled 0 0.5 3\r\nunknown spawn x\r\n", [pool.Polled((0.5, 3.0)), pool.Unknown(b"spawn", b"x")]),
     (b"finished x a PASS 1 1\r\nx\r\n", [400]), (b"finished 1 a PASS 1\r\n", [400]), (b"dance\r\n", [400]),
     (b"finished 1 a PASS 1 99999\r\n", [400]), (b"finished 1 a PASS 1 1\r\nxyz", [400]),
