A takeover that fails in part keeps the program serving; tests of both programs

Seen by reading: an unwritable folder, an unknown packet with a descriptor or a socket that is none would have left begin() failed and unseen, with no front open. Checked: tests with the deploy file's run command, a folder that is not there, and descriptors that are no listeners. Without BALANCER_LISTEN_FD nothing changes.

--- a/saltcart/__main__.py
+++ b/saltcart/__main__.py
@@ -43,7 +43,12 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     if HANGUPS:
         reload()
-    await ended.wait()
+    end = loop.create_task(ended.wait())
+    if app.beginning is not None:  # the fronts open later: what keeps them from that ends the program
+        await asyncio.wait((app.beginning, end), return_when=asyncio.FIRST_COMPLETED)
+        if app.beginning.done():
+            app.beginning.result()
+    await end
     log("stopped", counts={" ".join(key): count for key, count in app.service.counts.items()})
     await app.close()
 
--- a/saltcart/succession.py
+++ b/saltcart/succession.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -73,7 +74,7 @@
             except TimeoutError:
                 self.log("takeover-unanswered")
             self.log("took-over", keys=len(self.service.keys))
-        self.doorway.open()
+        self._be_found()
         await self.open_fronts()
         self._count_beside(self.beside)
 
@@ -93,6 +94,9 @@
                     self._attach(packet, fd))
                 self.attaching.add(task)
                 task.add_done_callback(self.attaching.discard)
+            case _:  # of a later release
+                if fd is not None:
+                    os.close(fd)
 
     def _count_beside(self, connections: int) -> None:
         """Clients' connections that the old process still holds: both have to do with one limit."""
@@ -128,11 +132,19 @@
         if self.after is not None:
             link.close()
             return
-        link.received = lambda packet, fd: self._give(link, packet)
+        link.received = lambda packet, fd: self._give(link, packet, fd)
         link.closed = lambda: self._resume(link)
         link.start()
 
-    def _give(self, link: HandoverLink, packet: wire.Packet) -> None:
+    def _be_found(self) -> None:
+        try:
+            self.doorway.open()
+        except OSError as error:  # no next version will find this one, but it serves
+            self.log("takeover-closed", error=str(error))
+
+    def _give(self, link: HandoverLink, packet: wire.Packet, fd: int | None) -> None:
+        if fd is not None:
+            os.close(fd)  # none is wanted from this side
         if packet.say != "take" or self.after is not None:
             raise Malformed("handover: not now")
         self.after, self.load = link, None
@@ -214,7 +226,7 @@
     async def _reopen(self) -> None:
         for listener in self.fronts.values():
             await listener.open()
-        self.doorway.open()
+        self._be_found()
         if self.announcer is not None:
             self.announcer.resume()
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -214,12 +214,14 @@
         return port
 
 
-async def start(config: Path, raw: dict[str, Any], **env: str) -> asyncio.subprocess.Process:
+async def start(config: Path, raw: dict[str, Any], fds: tuple[int, ...] = (), /,
+                **env: str) -> asyncio.subprocess.Process:
     config.write_text(json.dumps(raw))
     run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     return await asyncio.create_subprocess_shell(
         run.replace(".venv/bin/python", sys.executable), cwd=ROOT, stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(config), **env})
+        stderr=asyncio.subprocess.PIPE, pass_fds=fds,
+        env={**os.environ, "BALANCER_CONFIG": str(config), **env})
 
 
 def test_the_program_serves_drains_and_ends(tmp_path: Path) -> None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -18,7 +18,8 @@
 from saltcart.wire import handover as wire
 from saltcart.wire.errors import Malformed
 from tests.fakes import World
-from tests.standins import AjpClient, HttpClient, Pool, fields, running, until
+from tests.standins import AjpClient, HttpClient, Pool, fields, raw_config, running, until
+from tests.test_sockets import logged, start
 
 
 def ident(number: int) -> bytes:
@@ -275,3 +276,53 @@
                 assert (pool.spawned, other.spawned) == ([ident(1)], [ident(2)])
 
     asyncio.run(play())
+
+
+# ---- the program ------------------------------------------------------------------------------
+
+
+def test_a_new_program_takes_over_and_the_old_one_ends(platform: dict[str, str], tmp_path: Path) -> None:
+    address, fd = at(platform), int(platform["BALANCER_LISTEN_FD"])
+
+    async def play() -> None:
+        async with Pool() as pool, Pool() as other:
+            old = await start(tmp_path / "old.json", raw_config(pool=pool.address), (fd,), **platform)
+            assert old.stdout is not None
+            await logged(old.stdout, "listening")
+            client = await HttpClient(address).open()
+            await until(lambda: b"bind 0" in pool.told)
+            assert (await client.ask(1, "oddaja", key="k")).status == 200
+            new = await start(tmp_path / "new.json", raw_config(pool=other.address), (fd,), **platform)
+            assert new.stdout is not None
+            await logged(new.stdout, "took-over")
+            old.terminate()
+            out, err = await old.communicate()
+            assert old.returncode == 0 and err == b"" and b'"drain"' not in out
+            assert (await client.ask(2, "oddaja", key="k")).body == b"done x"
+            assert (await client.ask(3)).status == 200 and other.spawned == [ident(3)]
+            new.terminate()
+            await new.communicate()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(("fd", "folder", "status"), [("abc", "", 2), ("99", "", 2), ("99", "/not/there", 2)])
+def test_a_descriptor_that_is_no_listener_ends_with_one_plain_line(
+        fd: str, folder: str, status: int, tmp_path: Path) -> None:
+    async def play() -> None:
+        program = await start(tmp_path / "c.json", raw_config(), BALANCER_LISTEN_FD=fd, TMPDIR=folder)
+        _, err = await program.communicate()
+        assert program.returncode == status and len(err.splitlines()) == 1 and b"Traceback" not in err
+
+    asyncio.run(play())
+
+
+def test_a_folder_that_cannot_be_written_keeps_nobody_from_serving(platform: dict[str, str]) -> None:
+    address = at(platform)
+
+    async def play() -> None:
+        environment = {**platform, "TMPDIR": "/proc/no-such-folder"}
+        async with Pool() as pool, running(None, environment, pool=pool.address):
+            assert (await (await HttpClient(address).open()).ask(1)).status == 200
+
+    asyncio.run(play())
