--- a/saltcart/succession.py
+++ b/saltcart/succession.py
@@ -26,7 +26,7 @@
 from saltcart.wire import handover as wire
 from saltcart.wire.errors import Malformed
 
-ANSWER_WAIT = 2.0  # an old process that says nothing for this long is not waited for
+ANSWER_WAIT = 4.0  # an old process that says nothing for this long is not waited for: its keys are lost
 LOOK = 0.02  # connections that came or became free meanwhile are passed this often
 PASSES, NEXT = 16, 0.002  # at one turn, and the time to the next: descriptors are closed some turns later
 LEAST_STAY = 0.5  # a release that stops both processes at once leaves the old one time to learn of it
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -27,13 +27,13 @@
         deployment = (ROOT / "examples" / "saltcart.toml").read_text()
         for port in ("8009", "8090"):
             deployment = deployment.replace(f"127.0.0.1:{port}", "127.0.0.1:0")
-        (tmp_path / "config.json").write_text(json.dumps({**config, "listen": "127.0.0.1:0"}))
+        (tmp_path / "config.json").write_text(json.dumps({**config, "listen": "127.0.0.1:0", "control": "127.0.0.1:0"}))
         (tmp_path / "saltcart.toml").write_text(deployment.replace("127.0.0.1:8010", address))
         program = await start("saltcart", BALANCER_CONFIG=str(tmp_path / "config.json"),
                               SALTCART_DEPLOYMENT=str(tmp_path / "saltcart.toml"))
         assert program.stdout is not None
         fronts: dict[str, str] = {}
-        while len(fronts) < 3:
+        while len(fronts) < 4:
             line = json.loads(await program.stdout.readline())
             if line["event"] == "listening":
                 fronts[line["front"]] = line["address"]
@@ -41,6 +41,10 @@
         for n, client in enumerate(clients, 1):
             answer = await client.ask(n, "oddaja", b"hello", key="k", account="jadran-spedicija")
             assert (answer.status, answer.body) == (200, b"HELLO")
+        reader, writer = await asyncio.open_connection(*fronts["control"].split(":"))
+        writer.write(b"vars\n")
+        assert b"balancer.fulfilled.oddaja:2|c\n" in await reader.read()
+        writer.close()
         program.kill()
         toy.kill()
         out, _ = await toy.communicate()
