--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -27,7 +27,8 @@
         deployment = (ROOT / "examples" / "saltcart.toml").read_text()
         for port in ("8009", "8090"):
             deployment = deployment.replace(f"127.0.0.1:{port}", "127.0.0.1:0")
-        (tmp_path / "config.json").write_text(json.dumps({**config, "listen": "127.0.0.1:0", "control": "127.0.0.1:0"}))
+        free = dict.fromkeys(("listen", "control"), "127.0.0.1:0")
+        (tmp_path / "config.json").write_text(json.dumps({**config, **free}))
         (tmp_path / "saltcart.toml").write_text(deployment.replace("127.0.0.1:8010", address))
         program = await start("saltcart", BALANCER_CONFIG=str(tmp_path / "config.json"),
                               SALTCART_DEPLOYMENT=str(tmp_path / "saltcart.toml"))
