A connection to the index that was never made proves that the call never ran

`IndexClient._connect` took every failure but a refusal (a reset while connecting, errno 104) for a call that may have run, and the keyed request failed with all its further tries, though no byte of the call had been written. It connects again as after a refusal, and then says `UNREACHABLE`.

--- a/saltcart/net/index.py
+++ b/saltcart/net/index.py
@@ -15,7 +15,7 @@
 from saltcart.wire import index as wire
 from saltcart.wire.errors import Malformed
 
-# Only SHED and NOBODY prove that the call never ran.
+# Only SHED and NOBODY prove that the call never ran, and a connection that was never made.
 ENDS = {
     b"HIT": Outcome.OK, b"SHED": Outcome.REJECTED, b"BROKEN": Outcome.ERROR, b"SLOW": Outcome.TIMEOUT,
     b"NOBODY": Outcome.REJECTED,
@@ -154,24 +154,25 @@
         return None
 
     async def _connect(self, call: Call) -> None:
-        outcome, connection = Outcome.BROKEN, None
+        connection = None
         for wait in (*REFUSED_WAITS, 0.0):
             try:
                 async with asyncio.timeout(CONNECT_WAIT):
                     _, connection = await asyncio.get_running_loop().create_connection(
                         lambda: IndexConnection(self), *self.peer)
+            except TimeoutError:
                 break
-            except ConnectionRefusedError:
-                outcome = Outcome.UNREACHABLE
+            except OSError:
                 await asyncio.sleep(wait)
-            except (OSError, TimeoutError):
-                outcome = Outcome.BROKEN
-                break
+            else:
+                if connection.transport is not None:
+                    break
+                await asyncio.sleep(wait)  # it was reset as soon as it stood
         call.task = None
-        if connection is None:
-            self.log("index-refused", outcome=outcome.name)
         if connection is None or connection.transport is None:
-            self.ended(call, outcome if connection is None else Outcome.BROKEN, b"")
+            # Refused, reset or timed out, nothing of the call was written: it never ran, whatever it is.
+            self.log("index-refused")
+            self.ended(call, Outcome.UNREACHABLE, b"")
         else:
             self._write(call, connection)
 
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -267,6 +267,30 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("error", [ConnectionResetError, ConnectionRefusedError, TimeoutError])
+def test_a_connection_that_was_never_made_proves_that_the_call_never_ran(
+        error: type[OSError], monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nothing of the call was written, however connecting failed: even what must run once may go again."""
+    failures = [error] * 2
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def failing(make: Callable[[], asyncio.Protocol], host: str, port: int) -> object:
+            if failures and isinstance(make(), index.IndexConnection):
+                raise failures.pop()("the proxy is not to be had")
+            return await connect(make, host, port)
+
+        async with Pool(auto=False) as pool:
+            monkeypatch.setattr(loop, "create_connection", failing)
+            calls = list[bytes]()
+            assert await play_call(writes(b"ID HIT 4\r\ngood\r\n"), "oddaja", pool, calls) == 200
+            assert calls == [ident(1)] and not failures
+
+    asyncio.run(play())
+
+
 def test_a_connection_with_half_a_reply_left_over_carries_no_further_call() -> None:
     links = dict[bytes, asyncio.StreamWriter]()
     ended = list[tuple[bytes, str]]()
