--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -15,8 +15,8 @@
 
 from saltcart.interface import (
     Abandoned, Action, Advise, Arrived, AtCall, Below, Beside, Call, CallEnded, Effect, Event, Fail, Finished,
-    Health, IdleClose, Keep, Learned, Leaving, Note, Outcome, Preemption, Release, Run, Settings, Share,
-    Signal, SkipCall, Started, Stop, TenantSpec, Tenants, TurnAway, Wake, Woken,
+    Health, IdleClose, Keep, Leaving, Note, Outcome, Preemption, Release, Run, Settings, Share, Signal,
+    SkipCall, Started, Stop, TenantSpec, Tenants, TurnAway, Wake, Woken,
 )
 
 GAIN_NOW, GAIN_BEFORE = 0.42, 0.1  # the paper's increments, after its Eq. 11
@@ -146,7 +146,7 @@
         self.on: dict[type, Callable[[float, Any], None]] = {
             Started: self.started, Arrived: self.arrived, Finished: self.finished, AtCall: self.at_call,
             Abandoned: self.abandoned, CallEnded: self.call_ended, Leaving: self.leaving, Woken: self.woken,
-            Tenants: self.tenants, Beside: self.beside, Learned: self.learned}
+            Tenants: self.tenants, Beside: self.beside}
         self.other = Beside()  # what the process before still runs here
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -267,18 +267,9 @@
     def beside(self, now: float, ev: Beside) -> None:
         self.other = ev
 
-    def learned(self, now: float, ev: Learned) -> None:
-        """Go on from what the process before has measured; of other classes it would tell nothing."""
-        if len(ev.run_time) == len(ev.arrivals) == len(self.s.classes):
-            self.run_time, self.arrivals = list(ev.run_time), list(ev.arrivals)
-            self.call_wait, self.call_time, self.call_base = ev.call_wait, ev.call_time, ev.call_base
-            self.climber.slots = ev.slots  # the next sweep holds it to its range
-
-    def told(self) -> tuple[Learned, Beside]:
-        """The same for whoever takes over from this one."""
-        return Learned(self.climber.slots, tuple(self.run_time), tuple(self.arrivals), self.call_wait,
-                       self.call_time, self.call_base), Beside(
-            self.count[ON_CORE], self.count[CALLING], self.memory)
+    def load(self) -> Beside:
+        """The same, told to the process that takes over from this one."""
+        return Beside(self.count[ON_CORE], self.count[CALLING], self.memory)
 
     def end(self, r: Request, refuse: bool = False) -> None:
         """The one place where a final answer is sent; what has run is never refused."""
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -204,14 +204,14 @@
         self.heir = heir
         return list(self.keys.entries.values())
 
-    def told(self) -> tuple[i.Learned, i.Beside] | None:
-        """What the module has measured, and what it still has on the cores."""
-        return None if self.controller is None else self.controller.told()
+    def load(self) -> i.Beside:
+        """What is still on the cores and in the memory."""
+        return i.Beside() if self.controller is None else self.controller.load()
 
-    def tell(self, event: i.Learned | i.Beside) -> None:
+    def beside(self, load: i.Beside) -> None:
         """The same of the process before."""
         self._read_clock()
-        self._feed(event)
+        self._feed(load)
 
     def resume(self) -> None:
         """Whoever took over is gone: go on."""
--- a/saltcart/interface.py
+++ b/saltcart/interface.py
@@ -199,17 +199,6 @@
     memory_kb: float = 0.0
 
 
-class Learned(NamedTuple):
-    """What the process before has measured here."""
-
-    slots: int
-    run_time: tuple[float, ...]  # by class
-    arrivals: tuple[float, ...]
-    call_wait: float
-    call_time: float
-    call_base: float
-
-
 class Woken(NamedTuple):
     """A timer is due; gauges may be absent."""
 
@@ -220,8 +209,7 @@
     sockets: float | None = None
 
 
-Event = (Started | Arrived | Finished | Abandoned | AtCall | CallEnded | Leaving | Tenants | Beside | Learned
-         | Woken)
+Event = Started | Arrived | Finished | Abandoned | AtCall | CallEnded | Leaving | Tenants | Beside | Woken
 
 
 # ---- actions --------------------------------------------------------------------------------
--- a/saltcart/succession.py
+++ b/saltcart/succession.py
@@ -82,10 +82,10 @@
         match packet.say:
             case "entry" | "gone":
                 self.service.inherit(wire.to_entry(packet), packet.say == "gone")
-            case "learned" | "beside":
-                self.service.tell(wire.to_event(packet))
-                if packet.say == "beside":
-                    self._count_beside(int(wire.real(packet.fields.get("connections"))))
+            case "beside":
+                load, connections = wire.to_load(packet)
+                self.service.beside(load)
+                self._count_beside(connections)
             case "yours":
                 self.given.set()
             case "connection" if fd is not None:
@@ -153,8 +153,6 @@
             self.announcer.close()  # the entry is the new process's
         for entry in self.service.hand_over(self._tell):
             self._tell(entry, False)
-        if (told := self.service.told()) is not None:
-            link.send(wire.of_event(told[0]))
         self._tell_load()
         link.send(wire.Packet("yours", {}))
         for listener in self.fronts.values():
@@ -169,15 +167,10 @@
 
     def _tell_load(self) -> None:
         """Both share the cores and the memory until this one has finished."""
-        told = self.service.told()
-        if self.after is None or told is None:
-            return
-        load = told[1], sum(len(listener.connections) for listener in self.fronts.values())
-        if load != self.load:
+        load = self.service.load(), sum(len(listener.connections) for listener in self.fronts.values())
+        if self.after is not None and load != self.load:
             self.load = load
-            packet = wire.of_event(load[0])
-            packet.fields["connections"] = load[1]
-            self.after.send(packet)
+            self.after.send(wire.of_load(*load))
 
     def _pass(self, connection: ServerConnection, rest: bytes) -> bool:
         """One connection with what was read of it; its descriptor here is closed.  False: not now."""
--- a/saltcart/wire/handover.py
+++ b/saltcart/wire/handover.py
@@ -7,7 +7,7 @@
 import orjson
 
 from saltcart.core.keys import Entry
-from saltcart.interface import Beside, Learned
+from saltcart.interface import Beside
 from saltcart.wire.errors import Malformed
 
 VERSION = 1
@@ -15,7 +15,7 @@
 
 
 class Packet(NamedTuple):
-    """``say`` is take, entry, gone, learned, beside, yours or connection; the other fields go with it."""
+    """``say`` is take, entry, gone, beside, yours or connection; the other fields go with it."""
 
     say: str
     fields: dict[str, Any]
@@ -58,20 +58,15 @@
         raise Malformed(f"handover: {error!r}") from None
 
 
-def of_event(event: Learned | Beside) -> Packet:
-    return Packet("learned" if isinstance(event, Learned) else "beside", event._asdict())
+def of_load(load: Beside, connections: int) -> Packet:
+    """What the old process still has: on the cores, in the memory, and of the clients' connections."""
+    return Packet("beside", {**load._asdict(), "connections": connections})
 
 
-def to_event(packet: Packet) -> Learned | Beside:
-    f = packet.fields
-    try:
-        if packet.say == "beside":
-            return Beside(int(real(f["on_core"])), int(real(f["calling"])), real(f["memory_kb"]))
-        return Learned(
-            int(real(f["slots"])), tuple(map(real, f["run_time"])), tuple(map(real, f["arrivals"])),
-            real(f["call_wait"]), real(f["call_time"]), real(f["call_base"]))
-    except (KeyError, TypeError) as error:
-        raise Malformed(f"handover: {error!r}") from None
+def to_load(packet: Packet) -> tuple[Beside, int]:
+    on_core, calling, memory_kb, connections = (
+        real(packet.fields.get(name)) for name in (*Beside._fields, "connections"))
+    return Beside(int(on_core), int(calling), memory_kb), int(connections)
 
 
 def real(value: object) -> float:
