--- a/saltcart/admin/api.py
+++ b/saltcart/admin/api.py
@@ -22,7 +22,7 @@
 from saltcart.admin.registry import Registry
 from saltcart.core.service import Service
 from saltcart.deployment import read_tenant, read_upstream
-from saltcart.drill import Fields, WireError
+from saltcart.settings import Fields, WireError
 
 Reply = tuple[int, Any]
 
--- a/saltcart/admin/registry.py
+++ b/saltcart/admin/registry.py
@@ -13,7 +13,7 @@
 from saltcart.config import ConfigError
 from saltcart.core.service import Service
 from saltcart.deployment import Deployment, TenantConf, UpstreamConf, check, read_tenant, read_upstream
-from saltcart.drill import WireError
+from saltcart.settings import WireError
 from saltcart.interface import TenantSpec
 from saltcart.net.upstreams import Upstreams
 
--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from saltcart.config import ConfigError, place
-from saltcart.drill import Fields, WireError
+from saltcart.settings import Fields, WireError
 
 NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
 LOOPBACK = re.compile(r"(127(\.\d{1,3}){3}|localhost):")
--- /dev/null
+++ b/saltcart/settings.py
@@ -0,0 +1,142 @@
+"""Checked reading of settings: one helper for the platform's object, our files, the API and the simulator.
+
+Nothing here knows where a value came from beyond the name it is told; every error names that place, the field
+and the reason.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from saltcart import interface as i
+
+EFFECTS = {
+    "read_like": i.Effect.SAFE, "idempotency_key": i.Effect.KEYED, "non_idempotent": i.Effect.UNSAFE,
+}
+PREEMPTION = {"none": i.Preemption.NONE, "drop": i.Preemption.DROP, "pause": i.Preemption.PAUSE}
+SIGNALS = {
+    "none": i.Signal.NONE, "level": i.Signal.LEVEL, "credit": i.Signal.CREDIT, "weight": i.Signal.WEIGHT,
+}
+BELOW = {"none": i.Below.NONE, "shared": i.Below.SHARED, "tier": i.Below.TIER}
+_ABSENT: Any = object()
+
+
+class WireError(Exception):
+    """Input that breaks its contract; the text names the place, the field and the reason."""
+
+
+class Fields:
+    """Checked access to the fields of one JSON object."""
+
+    def __init__(self, raw: Any, where: str) -> None:
+        if not isinstance(raw, dict):
+            raise WireError(f"{where}: not an object")
+        self.raw: dict[str, Any] = raw
+        self.where = where
+
+    def _get(self, key: str, default: Any) -> Any:
+        value = self.raw.get(key)
+        if value is None:
+            if default is _ABSENT:
+                raise WireError(f"{self.where}: field {key} is missing")
+            return default
+        return value
+
+    def number(self, key: str, default: Any = _ABSENT, low: float = 0.0, high: float = math.inf) -> Any:
+        value = self._get(key, default)
+        if value is default:
+            return value
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+            raise WireError(f"{self.where}: field {key} is not a number")
+        if not low <= value <= high:
+            raise WireError(f"{self.where}: field {key} is out of range: {value}")
+        return value
+
+    def integer(self, key: str, default: Any = _ABSENT, low: int = 0) -> Any:
+        value = self._get(key, default)
+        if value is default:
+            return value
+        if isinstance(value, bool) or not isinstance(value, int) or value < low:
+            raise WireError(f"{self.where}: field {key} is not a whole number from {low} up")
+        return value
+
+    def text(self, key: str, default: Any = _ABSENT) -> Any:
+        value = self._get(key, default)
+        if value is not default and not isinstance(value, str):
+            raise WireError(f"{self.where}: field {key} is not text")
+        return value
+
+    def flag(self, key: str, default: Any = _ABSENT) -> Any:
+        value = self._get(key, default)
+        if value is not default and not isinstance(value, bool):
+            raise WireError(f"{self.where}: field {key} is not true or false")
+        return value
+
+    def array(self, key: str, default: Any = _ABSENT) -> Any:
+        value = self._get(key, default)
+        if value is not default and not isinstance(value, list):
+            raise WireError(f"{self.where}: field {key} is not a list")
+        return value
+
+    def part(self, key: str) -> Fields:
+        return Fields(self._get(key, _ABSENT), f"{self.where}.{key}")
+
+    def choice(self, key: str, table: dict[str, Any], default: Any = _ABSENT) -> Any:
+        value = self.text(key, default)
+        if value is default:
+            return value
+        if value not in table:
+            raise WireError(f"{self.where}: field {key} has no such value: {value}")
+        return table[value]
+
+
+def read_settings(f: Fields) -> i.Settings:
+    """The wire's settings in the module's words."""
+    extra, contract = f.part("extra"), f.part("contract")
+    limits = Fields(f.raw.get("limits") or {}, f"{f.where}.limits")
+    mix = Fields(f.raw.get("objectiveMix") or {}, f"{f.where}.objectiveMix")
+    calls = extra.array("callsByClass", [])
+    skips = extra.array("classSkipWorth", [])
+    services = f.array("services")
+    if not services:
+        raise WireError(f"{f.where}: field services is empty")
+    classes = []
+    for n, raw in enumerate(services):
+        s = Fields(raw, f"{f.where}.services[{n}]")
+        skip = skips[n] if n < len(skips) else 0.0
+        if isinstance(skip, bool) or not isinstance(skip, (int, float)) or not 0 <= skip <= 1:
+            raise WireError(f"{extra.where}: field classSkipWorth[{n}] is not a share")
+        if n < len(calls) and not isinstance(calls[n], bool):
+            raise WireError(f"{extra.where}: field callsByClass[{n}] is not true or false")
+        classes.append(i.ClassSpec(
+            name=s.text("name"), effect=s.choice("effect", EFFECTS), aim=s.number("onTime", low=1e-6),
+            deadline=s.number("deadline", low=1e-6), worth=s.number("worth"),
+            late_worth=s.number("lateValue", 0.0), window=s.number("memorySpan", 0.0),
+            calls_below=n < len(calls) and calls[n], skip_worth=float(skip),
+        ))
+    tenants = []
+    for n, raw in enumerate(f.array("orgs", [])):
+        t = Fields(raw, f"{f.where}.orgs[{n}]")
+        tenants.append(i.TenantSpec(t.text("name"), t.number("quotaPerS", 0.0), t.number("share", 0.0)))
+    stays = limits.flag("retryAfter", False)
+    return i.Settings(
+        classes=tuple(classes), tenants=tuple(tenants), cores=extra.integer("cores", low=1),
+        memory_kb=extra.number("memLimitKb", low=1e-6), answer_slack=contract.number("answerSlack"),
+        drain_grace=contract.number("drainGrace"), crowd_limit=contract.number("fallMultiple", low=1),
+        crowd_span=contract.number("fall"), cold_from=contract.number("coldFrom", 1.0, high=1),
+        cold_span=contract.number("cold", 0.0), cold=extra.flag("cold", False),
+        over_quota_worth=f.number("overShareWorth", 1.0),
+        goal=i.Goal(mix.number("whole", 1.0), mix.number("worstWindow", 0.0),
+                    mix.number("worstClass", 0.0), mix.number("worstTenant", 0.0)),
+        preemption=extra.choice("preemption", PREEMPTION, i.Preemption.NONE),
+        signal=extra.choice("signal", SIGNALS, i.Signal.NONE),
+        below=extra.choice("below", BELOW, i.Below.NONE),
+        call_share=extra.number("depShare", None), call_span=extra.number("shareSpan", 0.0),
+        call_linger=extra.number("linger", 0.0), run_factor=extra.number("runFactor", 1.0, low=1),
+        entry_kb=extra.number("keyKb", 0.0), fresh=extra.number("fresh", 0.0),
+        heard_for=extra.number("heardFor", 0.0), idle=extra.number("idle", 0.0),
+        max_stay_away=limits.number("maxRetryAfter", 0.0) if stays else 0.0,
+        servers=f.integer("replicasOfMe", 1), callers=extra.integer("clientsTotal", 1),
+        step=f.number("quantum", 0.001, low=1e-6), tier=f.integer("tier", 0),
+    )
