--- a/saltcart/__main__.py
+++ b/saltcart/__main__.py
@@ -54,6 +54,16 @@
 
 
 def main() -> int:
+    """The service; with words after it, the command line beside it."""
+    if len(sys.argv) < 2:
+        return run_service()
+    from saltcart.cli import cli  # never loaded by the service
+
+    cli(prog_name="saltcart")
+    return 0
+
+
+def run_service() -> int:
     try:
         conf, extra = config.load(), deployment.load()
     except config.ConfigError as error:
--- a/saltcart/admin/api.py
+++ b/saltcart/admin/api.py
@@ -7,6 +7,7 @@
     GET, PUT /v1/shares                     all shares at once
     GET, POST /v1/upstreams                 list, create
     GET, PUT, DELETE /v1/upstreams/N        show, replace, remove
+    GET /v1/dependencies                    what composed runs know of theirs
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import asdict
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -24,6 +25,9 @@
 from saltcart.deployment import read_tenant, read_upstream
 from saltcart.settings import Fields, WireError
 
+if TYPE_CHECKING:
+    from saltcart.net.composer import Composer
+
 Reply = tuple[int, Any]
 
 
@@ -36,10 +40,13 @@
 
 
 class Api:
-    def __init__(self, service: Service, registry: Registry, token: str) -> None:
+    def __init__(self, service: Service, registry: Registry, token: str,
+                 composer: Composer | None = None) -> None:
         self.service, self.registry, self.token = service, registry, token.encode()
+        self.composer = composer
         self.routes: dict[str, dict[str, Callable[..., Reply]]] = {
             "state": {"GET": self.state}, "counts": {"GET": self.counts},
+            "dependencies": {"GET": self.dependencies},
             "shares": {"GET": self.shares, "PUT": self.put_shares},
             "tenants": {"GET": self.tenants, "POST": self.post_tenant},
             "upstreams": {"GET": self.upstreams, "POST": self.post_upstream},
@@ -102,6 +109,9 @@
             out.setdefault(tenant, {}).setdefault(klass, {})[verdict] = count
         return 200, out
 
+    def dependencies(self) -> Reply:
+        return 200, {} if self.composer is None else self.composer.desk.state(self.service.clock())
+
     # ---- tenants and shares -------------------------------------------------------------------
 
     def _tenant(self, name: str) -> dict[str, Any]:
--- a/saltcart/admin/registry.py
+++ b/saltcart/admin/registry.py
@@ -35,6 +35,8 @@
             TenantConf(t.name, t.share, t.quota) for t in service.settings.tenants)
         self.tenants = {t.name: t for t in tenants}
         self.upstreams = {u.name: u for u in deployment.upstreams}
+        plans = deployment.plans
+        self.planned = set() if plans is None else {d.upstream for d in plans.dependency}  # not to be removed
         if path is not None and path.exists():
             self._restore(path)
 
@@ -69,9 +71,11 @@
         return [x for x in known.values() if x.name != name]
 
     def _change(self, tenants: list[TenantConf], upstreams: list[UpstreamConf]) -> None:
+        if gone := self.planned - {None} - {u.name for u in upstreams}:
+            raise WireError(f"upstream {min(map(str, gone))}: plans need it")
         check(tuple(upstreams), tuple(tenants))  # a change that can't stand leaves all as it was
         before, self.upstreams = self.upstreams, {u.name: u for u in upstreams}
-        gone, self.tenants = self.tenants.keys() - {t.name for t in tenants}, {t.name: t for t in tenants}
+        left, self.tenants = self.tenants.keys() - {t.name for t in tenants}, {t.name: t for t in tenants}
         if self.runs is not None:
             for upstream in upstreams:
                 if before.get(upstream.name) != upstream:
@@ -80,7 +84,7 @@
                 self.runs.remove(name)
             for tenant in tenants:
                 self.runs.assign(tenant.name, tenant.upstream)
-            for name in gone:
+            for name in left:
                 self.runs.assign(name, None)
         self.service.set_tenants(specs(tenants))
         if self.path is not None:
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -7,13 +7,14 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from saltcart.admin.api import Api
 from saltcart.admin.registry import Registry, specs
 from saltcart.admin.server import AdminConnection
 from saltcart.config import Config, ConfigError
 from saltcart.core.ports import Log, Runs
-from saltcart.core.service import Service
+from saltcart.core.service import STOP_MARGIN, Service
 from saltcart.deployment import Deployment
 from saltcart.front.ajp import AjpConnection
 from saltcart.front.control import CONNECTIONS as CONTROL_CONNECTIONS
@@ -25,8 +26,13 @@
 from saltcart.net.listener import Listener
 from saltcart.net.pool import PoolLink
 from saltcart.net.upstreams import Upstreams
+from saltcart.settings import WireError
 from saltcart.succession import Succession
 
+if TYPE_CHECKING:
+    from saltcart.budget.plan import Plans
+    from saltcart.net.composer import Composer
+
 MOST_KEYS, ENTRY_KB = 4096, 5.5  # a result has 4 KiB at most
 ADMIN_IDLE, ADMIN_CONNECTIONS = 30.0, 16
 RESERVE = 56  # descriptors for the pool, announce service, listeners, logs, the loop, and closes under way
@@ -34,12 +40,26 @@
 CALLS = 64  # connections to the index, at most and as far as a sixth of the descriptors goes
 
 
+def check_plans(plans: Plans, conf: Config) -> None:
+    """What has to hold of plans and the platform's object together; ``ConfigError`` says what does not."""
+    from saltcart.budget.plan import check_classes
+
+    if conf.pool is not None:
+        raise ConfigError("plan: the worker pool does the work here, plans are for where there is none")
+    try:
+        check_classes(plans, conf.settings.classes)
+    except WireError as error:
+        raise ConfigError(str(error)) from None
+
+
 class App:
     """Owns the listeners, links and tasks; ``close`` gives all of them back."""
 
     def __init__(self, conf: Config, deployment: Deployment, log: Log,
                  clock: Callable[[], float] = time.time) -> None:
         self.conf, self.deployment, self.log = conf, deployment, log
+        if deployment.plans is not None:
+            check_plans(deployment.plans, conf)
         settings = conf.settings
         hosted = bool(deployment.tenants or deployment.admin)
         if deployment.tenants:
@@ -59,6 +79,7 @@
         self.index: IndexClient | None = None
         self.pool: PoolLink | None = None
         self.upstreams: Upstreams | None = None
+        self.composer: Composer | None = None
         self.runs: Runs | None = None  # set before the start: in the place of a pool or upstreams
         self.ticker: Ticker | None = None
 
@@ -86,6 +107,8 @@
         else:
             self.upstreams = Upstreams(self.deployment, service, self.log, service.settings.cores)
             service.runs = self.upstreams
+            if self.deployment.plans is not None:
+                self._compose(self.deployment.plans, self.upstreams)
             service.pool_up(False, 0.0)
         self.ticker = Ticker(service, loop)
         if conf.listen_fd is not None and conf.shared_folder is not None:
@@ -101,11 +124,22 @@
         if (admin := self.deployment.admin) is not None:
             registry = Registry(self.deployment, service, self.upstreams,
                                 Path(admin.state) if admin.state else None)
-            api = Api(service, registry, admin.token)
+            api = Api(service, registry, admin.token, self.composer)
             await self._listen("admin", Listener(
                 admin.listen, lambda owner: AdminConnection(owner, api), lambda: ADMIN_IDLE,
                 ADMIN_CONNECTIONS, shared=self.succession is not None))
 
+    def _compose(self, plans: Plans, upstreams: Upstreams) -> None:
+        """Answers of the plans' classes are made of several dependencies' replies."""
+        from saltcart.net.composer import Composer
+
+        service = self.service
+        service.runs = self.composer = Composer(
+            plans, service.settings.classes, upstreams, service, self.log, self.conf.seed, service.clock,
+            service.held)
+        service.composed = frozenset(self.composer.desk.plans)
+        service.figures = self.composer.figures
+
     async def _open_fronts(self, most: int) -> None:
         """Where clients connect; ``most`` connections in all."""
         service, shared = self.service, self.succession is not None
@@ -138,6 +172,8 @@
         To a process that has handed over it only tells that it is stopped soon; ``done`` is told when it has
         nothing left to do.
         """
+        if self.composer is not None:
+            self.composer.hasten(self.conf.stop_after - STOP_MARGIN)
         if self.succession is None or not self.succession.retire(self.conf.stop_after, done):
             self.service.leave(self.conf.stop_after)
 
@@ -166,6 +202,8 @@
         for part in (self.pool, self.index, self.announcer):
             if part is not None:
                 part.close()
+        if self.composer is not None:
+            self.composer.close()
         if self.upstreams is not None:
             self.upstreams.close()
         if self.ticker is not None:
--- /dev/null
+++ b/saltcart/budget/desk.py
@@ -0,0 +1,342 @@
+"""The desk moves composed runs on: fed with the time and with what happened, it says what to send and answer.
+
+It does no I/O and knows no event loop.  Orders come back from every call, in the order in which they must be
+carried out; ``next_due`` says when ``tick`` wants to be called.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from saltcart.budget import compose
+from saltcart.budget.dependency import NEVER_RAN, Dependency
+from saltcart.budget.guards import Circuit
+from saltcart.budget.judge import Judge, Limits, optional_last
+from saltcart.budget.lastgood import LastGood
+from saltcart.budget.plan import Plan, Plans
+from saltcart.budget.run import OPEN, Attempt, Ended, GiveUp, Mark, Order, Part, Run, Send
+from saltcart.budget.yields import Yield
+from saltcart.interface import ClassSpec, Outcome
+
+MOST_TRIES = 3  # attempts of one call at one dependency, whatever the allowance
+CROWD = 4.0  # held requests from which a slot has its full price: one held for a moment loses nothing
+BROKEN_OFF, AT_LIMIT = (Outcome.ERROR, Outcome.BROKEN), 0.005  # seconds
+MASK = (1 << 64) - 1
+
+
+class Desk:
+    """Owns the runs, their attempts and the dependencies; the one place that forgets each."""
+
+    def __init__(self, plans: Plans, seed: int, classes: Iterable[ClassSpec]) -> None:
+        rng = random.Random(seed)
+        self.plans: dict[str, Plan] = {p.klass: p for p in plans.plan}
+        self.dependencies = {d.name: Dependency(d, random.Random(rng.random())) for d in plans.dependency}
+        self.last_good = LastGood(plans.memory.entries, plans.memory.kb)
+        self.worth = {c.name: c.worth for c in classes}
+        late = {c.name for c in classes if c.late_worth > 0}
+        self.judge = Judge(self.dependencies.__getitem__, rng, late.__contains__)
+        self.earns = Yield()
+        self.runs: dict[bytes, Run] = {}
+        self.attempts: dict[bytes, Attempt] = {}
+        self.number = rng.getrandbits(64)  # of the next attempt: two processes never name theirs alike
+        self.due: list[tuple[float, int, Callable[[float, Part], None], Part]] = []
+        self.order = 0
+        self.orders: list[Order] = []
+        self.counts = Counter[str]()
+
+    # ---- what the host tells ------------------------------------------------------------------
+
+    def start(self, now: float, ident: bytes, klass: str, tenant: str, body: bytes, aim_at: float,
+              due_at: float) -> list[Order]:
+        """A run begins; ``aim_at``: an answer by then is worth most, ``due_at``: by then it must be there."""
+        run = self.runs[ident] = Run(ident, self.plans[klass], tenant, body, now, min(aim_at, due_at), due_at)
+        self._go_on(now, run)
+        return self._take()
+
+    def reply(self, now: float, ident: bytes, outcome: Outcome, body: bytes = b"") -> list[Order]:
+        """An attempt is over.  One that nobody waits for any more changes nothing."""
+        attempt = self.attempts.pop(ident, None)
+        if attempt is not None:
+            part, dependency = attempt.part, self.dependencies[attempt.dependency]
+            part.attempts.remove(attempt)
+            if outcome in BROKEN_OFF and now >= part.until - AT_LIMIT:
+                outcome = Outcome.TIMEOUT  # the host's own clock for the call ran out a little before ours
+            dependency.ended(now, attempt, outcome)
+            if outcome is Outcome.OK:
+                self._answered(now, part, attempt.dependency, body)
+            else:
+                self._failed(now, part, attempt, outcome)
+            self._let_in(now, dependency)
+        return self._take()
+
+    def stop(self, now: float, ident: bytes) -> list[Order]:
+        """Nobody wants this run's answer any more."""
+        run = self.runs.get(ident)
+        if run is not None:
+            self._end(now, run, Outcome.CANCELLED)
+        return self._take()
+
+    def hasten(self, now: float, by: float) -> list[Order]:
+        """Everything has to be over by then: runs under way make do with what time there is."""
+        for run in list(self.runs.values()):
+            run.aim_at, run.due_at = min(run.aim_at, by), min(run.due_at, by)
+            end = run.due_at - run.plan.reserve_ms / 1000
+            for part in run.parts:
+                if part.mark in OPEN and part.until > end:
+                    part.until = end
+                    self._at(end, self._expire, part)
+        return self._take()
+
+    def press(self, now: float, held: int) -> list[Order]:
+        """``held`` requests wait for a slot.
+
+        Runs that only wait for what can be left out make room, as far as a slot earns more elsewhere.
+        """
+        price = self.earns.rate() * min(1.0, held / CROWD)
+        if price > 0:
+            for run in list(self.runs.values()):
+                parts = [part for part in run.parts if part.mark in OPEN]
+                if run.over or any(part.call.required for part in parts):
+                    continue
+                for part in parts:
+                    if part.mark in OPEN and not self._worth_waiting(now, part, price / len(parts)):
+                        self.counts["pressed"] += 1
+                        self._elsewhere(now, part)
+        return self._take()
+
+    def _worth_waiting(self, now: float, part: Part, price: float) -> bool:
+        worth = self.worth.get(part.run.plan.klass, 0.0) * part.call.worth
+        dependency = self.dependencies[part.attempts[0].dependency if part.attempts else part.dependency]
+        return self.judge.patience(now, part, dependency, worth, price) > 0
+
+    def tick(self, now: float) -> list[Order]:
+        """Run what is due."""
+        while self.due and self.due[0][0] <= now:
+            _, _, act, part = heapq.heappop(self.due)
+            if part.mark in OPEN:
+                act(now, part)
+        return self._take()
+
+    def next_due(self) -> float | None:
+        while self.due and self.due[0][3].mark not in OPEN:  # settled since: no reason to wake anybody
+            heapq.heappop(self.due)
+        return self.due[0][0] if self.due else None
+
+    def state(self, now: float) -> dict[str, dict[str, float | str]]:
+        return {name: d.state(now) for name, d in self.dependencies.items()}
+
+    # ---- stages -------------------------------------------------------------------------------
+
+    def _go_on(self, now: float, run: Run) -> None:
+        """Begin the next stage, and those after it as long as they are settled at once."""
+        while not run.over:
+            for part in run.parts:
+                run.replies[part.call.dependency] = part.mark, part.reply
+            run.parts = []
+            if run.stage == len(run.plan.stage):
+                return self._finish(now, run)
+            limits = self.judge.stage(now, run)
+            if limits is None:
+                self.counts["unfit"] += 1
+                return self._end(now, run, Outcome.ERROR)
+            self._begin_stage(now, run, limits)
+            if any(part.mark in OPEN for part in run.parts):
+                return
+
+    def _begin_stage(self, now: float, run: Run, limits: Limits) -> None:
+        calls = optional_last(run.plan.stage[run.stage].call)
+        run.stage += 1
+        run.parts = [Part(run, c, limits.required if c.required else limits.optional) for c in calls]
+        run.starting = True
+        for part in run.parts:
+            if run.over:
+                return
+            self._begin(now, part)
+        run.starting = False
+
+    def _settle(self, now: float, part: Part, mark: Mark, reply: bytes = b"") -> None:
+        """The one place where a call's fate is decided."""
+        run, part.mark, part.reply = part.run, mark, reply
+        for attempt in part.attempts:
+            self._drop(now, attempt, Outcome.CANCELLED, overtaken=mark is Mark.DONE)
+        part.attempts.clear()
+        if mark is Mark.LOST:
+            self._end(now, run, Outcome.ERROR)
+        elif not run.starting and not run.over and not any(p.mark in OPEN for p in run.parts):
+            self._go_on(now, run)
+
+    def _finish(self, now: float, run: Run) -> None:
+        left, remembered = run.named(Mark.LEFT_OUT), run.named(Mark.REMEMBERED)
+        self.counts["partial" if left else "whole"] += 1
+        lost = sum(call.worth for call in run.plan.calls() if call.dependency in left)
+        self.earns.ended(self.worth.get(run.plan.klass, 0.0) * (1 - lost), now - run.started)
+        self._end(now, run, Outcome.OK, compose.answer(run), left, remembered)
+
+    def _end(self, now: float, run: Run, outcome: Outcome, body: bytes = b"", left: tuple[str, ...] = (),
+             remembered: tuple[str, ...] = ()) -> None:
+        """The one place where a run is forgotten."""
+        if run.over:
+            return
+        run.over = True
+        del self.runs[run.ident]
+        writes = [part for part in run.parts if part.call.write]
+        if outcome is Outcome.ERROR and run.plan.stage[-1].call[0].write and not any(p.sent for p in writes):
+            outcome = Outcome.MOOT  # the write was never sent: a further try of the same key may run
+        for part in run.parts:
+            if part.mark in OPEN:
+                part.mark = Mark.LOST
+            for attempt in part.attempts:
+                self._drop(now, attempt, Outcome.CANCELLED)
+            part.attempts.clear()
+        self.orders.append(Ended(run.ident, outcome, now - run.started, body, left, remembered))
+
+    # ---- one call -----------------------------------------------------------------------------
+
+    def _begin(self, now: float, part: Part) -> None:
+        """Call the part's dependency now, or when a place is free, or go elsewhere."""
+        dependency = self.dependencies[part.dependency]
+        if not self.judge.fits(now, part, dependency):
+            dependency.counts["unfit"] += 1
+            self._elsewhere(now, part)
+        elif not self.judge.guarded or dependency.free(now):
+            self._send(now, part, dependency)
+        elif dependency.breaker.allows(now) and len(dependency.waiting) < dependency.spec.waiting:
+            part.mark = Mark.WAITING
+            dependency.waiting.append(part)
+            self._at(part.until, self._expire, part)
+        else:
+            dependency.counts["shut"] += 1
+            self._elsewhere(now, part)
+
+    def _send(self, now: float, part: Part, dependency: Dependency, further: bool = False) -> None:
+        room = part.until - now
+        fair = room >= dependency.need(now).typical
+        attempt = Attempt(b"%016x" % self.number, part, dependency.spec.name, now, further, fair)
+        self.number = (self.number + 1) & MASK
+        dependency.begun(attempt)
+        part.mark, part.sent = Mark.OUT, part.sent + 1
+        part.attempts.append(attempt)
+        self.attempts[attempt.ident] = attempt
+        self.orders.append(Send(attempt.ident, part.run.ident, dependency.spec.name, part.run.tenant,
+                                compose.to_send(part.run, part.call), room, part.call.write))
+        if part.sent == 1:
+            self._at(part.until, self._expire, part)
+        if not part.call.write and not part.beside:
+            other = dependency.spec.fallback
+            at = self.judge.beside_at(now, part, dependency, self.dependencies.get(other or ""))
+            if at is not None and at < part.until:
+                attempt.slow_at = at
+                self._at(at, self._beside, part)
+
+    def _beside(self, now: float, part: Part) -> None:
+        """The first attempt is slow: send a second one, to the fallback if there is one."""
+        if part.beside or len(part.attempts) != 1:
+            return
+        dependency = self.dependencies[part.attempts[0].dependency]
+        other = dependency.spec.fallback
+        if other is not None and other not in part.passed:
+            target = self.dependencies[other]
+            if target.free(now) and self.judge.fits(now, part, target):
+                part.beside = True
+                part.passed.add(other)
+                target.counts["fallback"] += 1
+                self._send(now, part, target)
+        elif part.call.hedge and dependency.free(now) and dependency.allowance.take():
+            part.beside = True
+            dependency.counts["hedge"] += 1
+            self._send(now, part, dependency, further=True)
+
+    def _answered(self, now: float, part: Part, dependency: str, body: bytes) -> None:
+        if part.call.remember:
+            key = LastGood.key(part.call.dependency, compose.to_send(part.run, part.call))
+            self.last_good.put(now, part.run.tenant, key, body)
+        self._settle(now, part, Mark.DONE, body)
+
+    def _failed(self, now: float, part: Part, attempt: Attempt, outcome: Outcome) -> None:
+        call, never = part.call, outcome in NEVER_RAN
+        if call.write and not never:
+            self._settle(now, part, Mark.LOST)  # it may have had its effect: never sent again
+            return
+        if call.write:
+            part.sent -= 1  # proved: no effect
+        if part.attempts:
+            return  # another attempt is under way
+        dependency = self.dependencies[attempt.dependency]
+        part.dependency = attempt.dependency
+        if (call.repeat or never) and part.sent < MOST_TRIES and self.judge.again(now, part, dependency) and (
+                not self.judge.guarded or (dependency.free(now) and dependency.allowance.take())):
+            self._send(now, part, dependency, further=True)
+        else:
+            self._elsewhere(now, part)
+
+    def _elsewhere(self, now: float, part: Part) -> None:
+        """This dependency gives no answer: another, the last good one, or none."""
+        other = self.dependencies[part.dependency].spec.fallback
+        if other is not None and other not in part.passed:
+            part.dependency = other
+            part.passed.add(other)
+            self.dependencies[other].counts["fallback"] += 1
+            self._begin(now, part)
+            return
+        call = part.call
+        if call.remember:
+            key = LastGood.key(call.dependency, compose.to_send(part.run, call))
+            kept = self.last_good.get(now, part.run.tenant, key, call.remember)
+            if kept is not None:
+                self._settle(now, part, Mark.REMEMBERED, kept)
+                return
+        self._settle(now, part, Mark.LOST if call.required else Mark.LEFT_OUT)
+
+    def _expire(self, now: float, part: Part) -> None:
+        """The part's time is over."""
+        if now < part.until:
+            return
+        for attempt in part.attempts:
+            self._drop(now, attempt, Outcome.TIMEOUT)
+        part.attempts.clear()
+        if part.call.write and part.sent:
+            self._settle(now, part, Mark.LOST)
+        else:
+            part.passed.update(self.dependencies)  # no time for another
+            self._elsewhere(now, part)
+
+    def _drop(self, now: float, attempt: Attempt, outcome: Outcome, overtaken: bool = False) -> None:
+        """Give an attempt up; the caller takes it off its part."""
+        if self.attempts.pop(attempt.ident, None) is None:
+            return  # its run has ended in the course of this very change
+        dependency = self.dependencies[attempt.dependency]
+        dependency.ended(now, attempt, outcome, overtaken and not attempt.further and attempt.slow(now))
+        self.orders.append(GiveUp(attempt.ident, attempt.dependency))
+        self._let_in(now, dependency)
+
+    def _let_in(self, now: float, dependency: Dependency) -> None:
+        """A place may be free: the call that has waited longest and still fits takes it.
+
+        Where the breaker has opened none will be: then all that wait go elsewhere at once.
+        """
+        while dependency.waiting and (dependency.free(now) or dependency.breaker.state is Circuit.OPEN):
+            part = dependency.waiting.popleft()
+            if part.mark is not Mark.WAITING or part.dependency != dependency.spec.name:
+                continue
+            if dependency.free(now) and self.judge.fits(now, part, dependency):
+                self._send(now, part, dependency)
+            else:
+                self._elsewhere(now, part)
+
+    # ---- bookkeeping --------------------------------------------------------------------------
+
+    def _at(self, when: float, act: Callable[[float, Part], None], part: Part) -> None:
+        self.order += 1
+        heapq.heappush(self.due, (when, self.order, act, part))
+
+    def _take(self) -> list[Order]:
+        orders, self.orders = self.orders, []
+        return orders
+
+
+def upstreams_in(plans: Plans) -> Iterable[str]:
+    """The upstreams that plans need: they can't be removed while the plans stand."""
+    return (d.upstream for d in plans.dependency if d.upstream is not None)
--- /dev/null
+++ b/saltcart/budget/judge.py
@@ -0,0 +1,117 @@
+"""How long each call may take, and whether it is worth beginning; an object, so that others can stand in."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from math import inf
+from typing import NamedTuple
+
+from saltcart.budget.dependency import EVIDENCE, Dependency
+from saltcart.budget.plan import Call, Stage
+from saltcart.budget.run import Part, Run
+from saltcart.budget.shares import Need, side_by_side, split
+
+LEAVE = 1.25  # of what later stages need at most, kept from calls that can be left out
+SURE = 1.2  # of what nearly all calls need: past the sketch's error, a call is slow
+PROBES = 0.05  # of the calls that seem not to fit are made: estimates must not last by themselves
+
+
+class Limits(NamedTuple):
+    """When the calls of a stage are given up, by the desk's clock."""
+
+    required: float
+    optional: float
+
+
+class Judge:
+    """Budgets from what dependencies have lately needed."""
+
+    guarded = True  # limits, breakers and allowances hold
+
+    def __init__(self, look: Callable[[str], Dependency], rng: random.Random,
+                 late: Callable[[str], bool] = lambda klass: False) -> None:
+        self.look, self.rng, self.late = look, rng, late
+
+    def _need(self, now: float, stage: Stage) -> Need:
+        return side_by_side([self.look(c.dependency).need(now) for c in stage.call if c.required])
+
+    def stage(self, now: float, run: Run) -> Limits | None:
+        """Limits for the stage that is about to begin; None where what must be called can't fit any more."""
+        reserve = run.plan.reserve_ms / 1000
+        horizon = run.aim_at - reserve
+        stages = run.plan.stage[run.stage:]
+        needs = [self._need(now, stage) for stage in stages]
+        shares = split(horizon - now, needs[0], needs[1:])
+        if shares is None and self.late(run.plan.klass):  # late is worth something
+            horizon = run.due_at - reserve
+            shares = split(horizon - now, needs[0], needs[1:])
+        if shares is None:
+            if horizon <= now or self.rng.random() >= PROBES:
+                return None
+            return Limits(horizon, horizon)
+        kept = sum(LEAVE * n.most if n.most < inf else share for n, share in zip(needs[1:], shares[1:]))
+        optional = max(now, horizon - kept)
+        required = now + shares[0]
+        if any(c.write for c in stages[0].call):  # once sent, only its answer tells what became of it
+            required = max(required, run.due_at - reserve)
+        elif self.late(run.plan.klass):  # past the aim there is still something to earn
+            required = max(required, run.due_at - reserve - sum(shares[1:]))
+        return Limits(required, optional)
+
+    def fits(self, now: float, part: Part, dependency: Dependency) -> bool:
+        """Is there time for a lucky call at least?"""
+        room = part.until - now
+        if part.call.write and not self.late(part.run.plan.klass):  # it may end late, but not begin so
+            room = min(room, part.run.aim_at - now)
+        if room <= 0:
+            return False
+        return dependency.need(now).lucky <= room or self.rng.random() < PROBES
+
+    def beside_at(self, now: float, part: Part, dependency: Dependency,
+                  other: Dependency | None) -> float | None:
+        """When a second attempt should begin beside one sent now: past what nearly all calls take.
+
+        Where another dependency can stand in, it is left the time that it needs.
+        """
+        need, room = dependency.need(now), part.until - now
+        if other is not None:
+            # Of a dependency that hardly replies any more nothing is expected: both are asked at once.
+            after = next((level for level in (SURE * need.most, 2 * need.typical) if level < inf), 0.0)
+            return now + max(0.0, min(after, room - LEAVE * other.need(now).most))
+        if part.call.hedge and SURE * need.most + need.typical <= room:
+            return now + SURE * need.most
+        return None
+
+    def patience(self, now: float, part: Part, dependency: Dependency, worth: float, price: float) -> float:
+        """Seconds that a call which can be left out is still worth waiting for while others want the slot.
+
+        ``worth`` is what its reply adds, ``price`` what a second of the slot earns elsewhere.  The best time
+        to stop is where worth times the chance of a reply, less the price of the wait, is greatest.
+        """
+        if dependency.times.count(now) < EVIDENCE:
+            return part.until - now
+        elapsed = now - part.attempts[0].begun if part.attempts else 0.0
+        here, last, best, best_gain, spent, before = 1.0, 1.0, 0.0, 0.0, 0.0, elapsed
+        for value, alive in dependency.times.survival():
+            if value <= elapsed:
+                here = alive
+                continue
+            if here <= 0 or now + value - elapsed > part.until:
+                break
+            # ``spent``: expected wait until then, for the share that is still out at each step.
+            spent += (value - before) * (last if before > elapsed else here)
+            gain = worth * (here - alive) / here - price * spent / here
+            if gain > best_gain:
+                best, best_gain = value - elapsed, gain
+            before, last = value, alive
+        return best
+
+    def again(self, now: float, part: Part, dependency: Dependency) -> bool:
+        """Is there time for a typical call after one that failed?"""
+        return dependency.need(now).typical <= part.until - now
+
+
+def optional_last(calls: list[Call]) -> list[Call]:
+    """Required calls first: places at a dependency go to them before those that can be left out."""
+    return sorted(calls, key=lambda c: not c.required)
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -13,7 +13,7 @@
 from dataclasses import replace
 
 from saltcart import interface as i
-from saltcart.balance import Controller
+from saltcart.balance import HELD, Controller
 from saltcart.core.keys import Entry, Key, KeyTable, digest
 from saltcart.core.ports import Announce, Answer, Ask, Calls, Log, Reply, Runs, Verdict
 from saltcart.core.timers import Timers
@@ -82,6 +82,8 @@
         self.on_up: Callable[[], None] | None = None  # told once, when the pool is up
         # Told of keys whose fate is settled, once another process has taken over; nothing is taken then.
         self.heir: Callable[[Entry, bool], None] | None = None
+        self.composed = frozenset[str]()  # classes whose answers are composed, and may be partial
+        self.figures: Callable[[], Iterable[tuple[str, int]]] = tuple  # further ones for the operators
         self.withdrawn = False  # the operators send callers away; what still comes is served as always
         self.hint: float | None = None
         self.drain_at: float | None = None
@@ -265,7 +267,8 @@
         if self.on_up is not None:
             self.on_up()
 
-    def run_ended(self, ident: bytes, outcome: i.Outcome, took: float, result: bytes) -> None:
+    def run_ended(self, ident: bytes, outcome: i.Outcome, took: float, result: bytes,
+                  left_out: tuple[str, ...] = (), remembered: tuple[str, ...] = ()) -> None:
         r = self.by_ident.get(ident)
         if r is None or r.state in OFF_POOL:
             return
@@ -273,7 +276,7 @@
         if r.state is State.CALLING:
             self._give_up_call(r)
         if outcome is i.Outcome.OK:
-            self._answer(r, Answer(Verdict.SERVED, result))
+            self._answer(r, Answer(Verdict.SERVED, result, left_out=left_out, remembered=remembered))
         elif outcome is i.Outcome.ERROR:
             self._answer(r, Answer(Verdict.FAILED))
         if r.stopped and r.reply is not None and self.settings.preemption is i.Preemption.PAUSE:
@@ -363,8 +366,10 @@
                 return
             r.state = State.RUNNING
             self.relayed[r.ask.klass] += 1
+            due = min(r.due, self.stop_at - STOP_MARGIN)
             self.runs.spawn(r.ask.ident, r.ask.klass, r.ask.account, r.ask.body,
-                            r.spec.effect is not i.Effect.SAFE, r.due - self.now)
+                            r.spec.effect is not i.Effect.SAFE, due - self.now,
+                            r.ask.received + r.spec.aim - self.now)
 
     def _claim(self, r: Request) -> bool:
         """The entry of a keyed request stands before its run starts, for the whole window."""
@@ -516,6 +521,8 @@
         if reply is not None:
             answer.hint = self.hint
             self._count(r, answer.verdict.value)
+            if answer.left_out:  # one of those served
+                self._count(r, "partial")
             reply(answer)
 
     def _count(self, r: Request, what: str) -> None:
@@ -530,6 +537,10 @@
             counts[klass, what] += count
         return counts
 
+    def held(self) -> int:
+        """Requests that wait for a slot."""
+        return 0 if self.controller is None else self.controller.count[HELD]
+
     def open_requests(self) -> int:
         """Requests whose answer is owed."""
         return sum(r.reply is not None for r in self.requests.values())
--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -12,13 +12,17 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from saltcart.config import ConfigError, place
 from saltcart.settings import Fields, WireError
 
+if TYPE_CHECKING:
+    from saltcart.budget.plan import Plans
+
 NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
 LOOPBACK = re.compile(r"(127(\.\d{1,3}){3}|localhost):")
+PLANS = ("dependency", "plan", "memory")  # the tables that saltcart.budget.plan reads
 DEFAULT = Path(__file__).resolve().parent.parent / "deploy" / "saltcart.toml"
 
 
@@ -64,6 +68,7 @@
     admin: Admin | None = None
     upstreams: tuple[UpstreamConf, ...] = ()
     tenants: tuple[TenantConf, ...] = ()
+    plans: Plans | None = None  # how answers are composed of several dependencies' replies
 
 
 def name(f: Fields, key: str = "name") -> str:
@@ -117,7 +122,7 @@
 
 def read(raw: Any) -> Deployment:
     try:
-        f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant")
+        f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant", *PLANS)
         ajp = admin = None
         if "ajp" in f.raw:
             a = only(f.part("ajp"), "enabled", "listen", "secret")
@@ -136,7 +141,13 @@
         upstreams = tuple(read_upstream(u, f"upstream[{n}]") for n, u in enumerate(f.array("upstream", [])))
         tenants = tuple(read_tenant(t, f"tenant[{n}]") for n, t in enumerate(f.array("tenant", [])))
         check(upstreams, tenants)
-        return Deployment(ajp, admin, upstreams, tenants)
+        plans = None
+        if any(key in f.raw for key in PLANS):  # only where it is needed: a service without plans stays lean
+            from saltcart.budget.plan import read_plans
+
+            tables = {key: f.raw[key] for key in PLANS if key in f.raw}
+            plans = read_plans(tables, [u.name for u in upstreams])
+        return Deployment(ajp, admin, upstreams, tenants, plans)
     except WireError as error:
         raise ConfigError(str(error)) from None
 
@@ -148,5 +159,5 @@
         return Deployment()
     try:
         return read(tomllib.loads(path.read_text(encoding="utf-8")))
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError, ConfigError) as error:
         raise ConfigError(f"{path}: {error}") from None
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -25,6 +25,10 @@
         fields.append(("Back-Off-Ms", str(max(1, round(answer.back_off * 1000)))))
     if answer.verdict is Verdict.REFUSED and answer.final:
         fields.append(("Final-Refusal", "1"))
+    if answer.left_out:
+        fields.append(("Left-Out", ", ".join(answer.left_out)))
+    if answer.remembered:
+        fields.append(("From-Memory", ", ".join(answer.remembered)))
     return tuple(fields)
 
 
--- a/saltcart/front/control.py
+++ b/saltcart/front/control.py
@@ -50,5 +50,8 @@
         for klass in self.service.klass:
             lines += [statsd(f"{name}.{klass}", counts[klass, what], "c") for name, what in FIGURES]
             lines.append(statsd(f"relayed.{klass}", self.service.relayed[klass], "c"))
+            if klass in self.service.composed:
+                lines.append(statsd(f"partial.{klass}", counts[klass, "partial"], "c"))
         lines.append(statsd("open_requests", self.service.open_requests(), "g"))
+        lines += [statsd(name, value, "g") for name, value in self.service.figures()]
         return "".join(lines) + "END\n"
--- /dev/null
+++ b/saltcart/lab/budgets.py
@@ -0,0 +1,369 @@
+"""The experiment on budgets: nine days, the deciding code and three baselines, on one model.
+
+The core, the decision module and the desk are the service's own.  ``fixed`` gives each stage an equal part of
+the aim, ``none`` waits for each call as long as the caller waits and repeats errors at once; both call
+whatever it costs.  ``oracle`` knows what each call would come to and never lacks a slot: it earns what the
+partial-answer rules permit.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import resource
+import time
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+from saltcart.budget.dependency import Dependency
+from saltcart.budget.desk import Desk
+from saltcart.budget.judge import Judge, Limits
+from saltcart.budget.plan import Plans, check_classes, read_plans
+from saltcart.budget.run import Ended, GiveUp, Mark, Order, Orders, Part, Run, Send
+from saltcart.core.ports import Answer, Ask
+from saltcart.core.service import STOP_MARGIN, Service
+from saltcart.interface import Effect, Outcome, Settings
+from saltcart.lab import offices
+from saltcart.lab.dependency import ModelDependency
+from saltcart.lab.events import Events, Ticks, host
+from saltcart.lab.offices import Day
+from saltcart.settings import Fields, read_settings
+
+RATE = 60.0  # requests a second
+QUICK, FULL = 40.0, 240.0  # seconds of a day
+POLICIES = ("budgets", "fixed", "none", "oracle")
+REPEATED = 0.05  # of the keyed requests come a second time, soon after the first
+COST_RUNS, MANY_RUNS = 20_000, 1_000_000  # of the desk alone
+SLOTS = 1000  # the oracle's
+WITHIN = 2.0  # from the notice to drain to the stop, in seconds
+
+
+class FixedJudge(Judge):
+    """Equal time-outs: every stage an equal part of the aim, whatever was needed and is left."""
+
+    guarded = False
+
+    def stage(self, now: float, run: Run) -> Limits | None:
+        part = (run.aim_at - run.started - run.plan.reserve_ms / 1000) / len(run.plan.stage)
+        return Limits(now + part, now + part)
+
+    def fits(self, now: float, part: Part, dependency: Dependency) -> bool:
+        return now < part.until
+
+    def beside_at(self, now: float, part: Part, dependency: Dependency,
+                  other: Dependency | None) -> float | None:
+        return None
+
+    def again(self, now: float, part: Part, dependency: Dependency) -> bool:
+        return now < part.until
+
+
+class NoJudge(FixedJudge):
+    """No budgets at all: each call is waited for as long as the caller waits."""
+
+    def stage(self, now: float, run: Run) -> Limits | None:
+        until = run.due_at - run.plan.reserve_ms / 1000
+        return Limits(until, until)
+
+
+class OracleJudge(FixedJudge):
+    """Knows what would become of each call made now."""
+
+    def __init__(self, judge: Judge, places: dict[str, ModelDependency]) -> None:
+        super().__init__(judge.look, judge.rng, judge.late)
+        self.places = places
+
+    def _took(self, now: float, run: Run, name: str) -> float:
+        fate = self.places[name].fate(now, request_of(run.ident))
+        return fate.took if fate.took is not None and fate.outcome is Outcome.OK else 0.0
+
+    def stage(self, now: float, run: Run) -> Limits | None:
+        horizon = run.aim_at - run.plan.reserve_ms / 1000
+        later = sum(max((self._took(now, run, c.dependency) for c in stage.call if c.required), default=0.0)
+                    for stage in run.plan.stage[run.stage + 1:])
+        return Limits(horizon, horizon - later)
+
+    def fits(self, now: float, part: Part, dependency: Dependency) -> bool:
+        place, request = self.places[dependency.spec.name], request_of(part.run.ident)
+        fates = [place.fate(now, request, ahead) for ahead in (0, 1)]
+        if fates[0].outcome is not Outcome.OK and dependency.allowance.saved < 1:
+            return False
+        good = next((f for f in fates if f.outcome is Outcome.OK and f.took is not None), None)
+        return good is not None and good.took is not None and now + good.took <= part.until
+
+    def again(self, now: float, part: Part, dependency: Dependency) -> bool:
+        return self.fits(now, part, dependency) and dependency.allowance.take()
+
+
+def judge_for(policy: str, judge: Judge, places: dict[str, ModelDependency]) -> Judge:
+    match policy:
+        case "fixed":
+            return FixedJudge(judge.look, judge.rng, judge.late)
+        case "none":
+            return NoJudge(judge.look, judge.rng, judge.late)
+        case "oracle":
+            return OracleJudge(judge, places)
+    return judge
+
+
+def request_of(ident: bytes) -> int:
+    """The number of the request that a try belongs to: a repeat's lies a fixed step above it."""
+    return int(ident, 16) % (1 << 32)
+
+
+@dataclass
+class Tally:
+    """What came of one day under one policy."""
+
+    offered: float = 0.0
+    earned: float = 0.0
+    by_second: Counter[int] = field(default_factory=Counter)
+    verdicts: Counter[str] = field(default_factory=Counter)
+    late: int = 0
+    unanswered: int = 0
+    writes_partial: int = 0
+    writes_twice: int = 0
+    load_factor: float = 1.0
+    calls: int = 0
+    requests: int = 0
+    took: float = 0.0  # seconds of real time for the play
+    median_ms: float = 0.0
+    p99_ms: float = 0.0
+
+
+class ModelRuns:
+    """The runs port in the model: the desk's orders carried out on model dependencies."""
+
+    def __init__(self, events: Events, service: Service, desk: Desk, places: dict[str, ModelDependency],
+                 tally: Tally) -> None:
+        self.events, self.service, self.desk, self.places, self.tally = events, service, desk, places, tally
+        self.presses, self.orders = True, Orders(self._carry_out)
+        self.ticks = Ticks(events, desk.next_due, lambda: self.do(desk.tick, events.now))
+
+    def do(self, call: Callable[..., list[Order]], *args: Any) -> None:
+        self.orders(call(*args))
+        self.ticks.arm()
+
+    def _carry_out(self, order: Order) -> None:
+        match order:
+            case Send():
+                self._send(order)
+            case Ended():
+                self.service.run_ended(order.ident, order.outcome, order.took, order.body,
+                                       order.left_out, order.remembered)
+            case GiveUp():
+                pass  # the worker goes on with it; its reply finds nobody
+
+    def _send(self, order: Send) -> None:
+        self.tally.calls += 1
+        if order.once and order.run in self.desk.runs:
+            replies = self.desk.runs[order.run].replies
+            self.tally.writes_partial += any(m is not Mark.DONE for m, _ in replies.values())
+        self.places[order.dependency].call(
+            self.events.now, request_of(order.run),
+            lambda when, outcome: self.events.at(when, self._told, order.ident, outcome))
+
+    def _told(self, ident: bytes, outcome: Outcome) -> None:
+        self.do(self.desk.reply, self.events.now, ident, outcome, b'{"ok":1}')
+
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float,
+              aim: float) -> None:
+        now = self.events.now
+        self.do(self.desk.start, now, ident, klass, account, body, now + aim, now + within)
+
+    def suspend(self, ident: bytes) -> None:
+        self.do(self.desk.stop, self.events.now, ident)
+
+    def proceed(self, ident: bytes) -> None: ...
+    def supply(self, ident: bytes, reply: bytes) -> None: ...
+    def skip(self, ident: bytes, notice: int) -> None: ...
+
+    def poll(self) -> None:
+        self.service.gauges((0.0, 0.0))  # runs that wait leave the cores alone
+        if self.presses:
+            self.do(self.desk.press, self.events.now, self.service.held())
+
+
+class Play:
+    """One day under one policy."""
+
+    def __init__(self, day: Day, policy: str, seconds: float, seed: int, rate: float = RATE) -> None:
+        self.day, self.seconds, self.tally = day, seconds, Tally()
+        rng = np.random.default_rng([seed, 7])
+        count = int(seconds * rate)
+        self.settings: Settings = read_settings(Fields(offices.SETTINGS, "settings"))
+        if policy == "oracle":
+            self.settings = replace(self.settings, cores=SLOTS)
+        self.arrivals = np.sort(rng.random(count) * seconds).tolist()
+        self.kinds = rng.choice(len(offices.CLASSES), count, p=offices.MIX).tolist()
+        self.ranks, self.leaves = rng.random(count).tolist(), rng.random((count, 2)).tolist()
+        self.events = events = Events()
+        self.origin = events.now
+        self.service = Service(self.settings, ("cpu_busy", "runnable"), seed, events.clock,
+                               lambda event, **fields: None, 100_000)
+        plans = office_plans(self.settings)
+        self.places = {name: ModelDependency(name, *place, count, seed, events.now)
+                       for name, place in offices.PLACES.items()}
+        for name, trouble in day.troubles.items():
+            self.places[name].troubles.append(trouble)
+        self.desk = Desk(plans, seed, self.settings.classes)
+        self.desk.judge = judge_for(policy, self.desk.judge, self.places)
+        self.runs = ModelRuns(events, self.service, self.desk, self.places, self.tally)
+        self.service.runs, self.runs.presses = self.runs, policy == "budgets"
+        self.worths = {p.klass: {c.dependency: c.worth for c in p.calls()} for p in plans.plan}
+        self.histogram = HdrHistogram(1, 60_000_000, 3)
+        self.answered = Counter[int]()
+
+    def run(self) -> Tally:
+        begun, events, tally = time.perf_counter(), self.events, self.tally
+        self.service.pool_up(False, 100.0)
+        host(events, self.service)
+        random.seed(0)
+        stop = self.seconds / 2 if self.day.drain else float("inf")
+        for n, at in enumerate(self.arrivals):
+            if at < stop:
+                events.at(self.origin + at, self._arrive, n, 0)
+        if self.day.drain:
+            events.at(self.origin + stop, self._drain)
+        events.run(self.origin + self.seconds + 6)
+        tally.requests = sum(1 for a in self.arrivals if a < stop)
+        tally.unanswered = sum(self.answered[n] == 0 for n in range(tally.requests))
+        tally.writes_twice = sum(tries > 1 for tries in self.places["knjiga"].tries.values())
+        tally.took = time.perf_counter() - begun
+        for name in self.day.troubles:
+            counts = self.desk.dependencies[name].counts
+            tally.load_factor = max(tally.load_factor, 1 + counts["further"] / max(1, counts["first"]))
+        tally.median_ms = self.histogram.get_value_at_percentile(50) / 1000
+        tally.p99_ms = self.histogram.get_value_at_percentile(99) / 1000
+        return tally
+
+    def _drain(self) -> None:
+        self.service.leave(WITHIN)
+        self.runs.do(self.desk.hasten, self.events.now, self.events.now + WITHIN - STOP_MARGIN)
+
+    def _arrive(self, n: int, nth: int) -> None:
+        now, spec = self.events.now, self.settings.classes[self.kinds[n]]
+        keyed = spec.effect is Effect.KEYED
+        ident = b"%016x" % (n + (nth << 32))
+        ask = Ask(ident, spec.name, "", now, spec.deadline, 10.0, self.ranks[n],
+                  key=b"k%d" % n if keyed else None, body=b'{"n":%d}' % n)
+        gone, chance = self.leaves[n]
+        if not nth:
+            self.tally.offered += spec.worth
+            if keyed and chance < REPEATED:
+                self.events.at(now + 0.2, self._arrive, n, 1)
+        number = self.service.arrive(ask, lambda answer: self._answered(n, nth, now, answer))
+        if gone < self.day.leaving and not nth:
+            self.events.at(now + 0.05 + chance * spec.aim / 2, self._leave, n, number)
+
+    def _leave(self, n: int, number: int) -> None:
+        if not self.answered[n]:
+            self.answered[n] += 1  # nothing is owed any more
+            self.service.abandon(number)
+
+    def _answered(self, n: int, nth: int, begun: float, answer: Answer) -> None:
+        spec, took = self.settings.classes[self.kinds[n]], self.events.now - begun
+        tally = self.tally
+        tally.verdicts["partial" if answer.left_out else answer.verdict.value] += 1
+        tally.late += took > spec.deadline + self.settings.answer_slack
+        tally.writes_partial += bool(answer.left_out) and spec.effect is not Effect.SAFE
+        if nth:
+            return
+        self.answered[n] += 1
+        self.histogram.record_value(max(1, int(took * 1e6)))
+        if answer.verdict.value == "served" and took <= spec.aim:
+            worth = spec.worth * (1 - sum(self.worths[spec.name][name] for name in answer.left_out))
+            tally.earned += worth
+            tally.by_second[int(begun - self.origin)] += worth
+
+
+def office_plans(settings: Settings, addresses: dict[str, str] | None = None) -> Plans:
+    raw = offices.tables(addresses)
+    plans = read_plans({k: raw[k] for k in ("dependency", "plan")}, [u["name"] for u in raw["upstream"]])
+    check_classes(plans, settings.classes)
+    return plans
+
+
+def play(job: tuple[int, str, float, int]) -> Tally:
+    number, policy, seconds, seed = job
+    return Play(offices.days(seconds)[number], policy, seconds, seed).run()
+
+
+def run(quick: bool, seed: int) -> tuple[list[list[str]], dict[str, Any], dict[str, dict[str, Tally]]]:
+    """The table, the figures and all that was seen, by day and policy."""
+    seconds = QUICK if quick else FULL
+    names = [day.name for day in offices.days(seconds)]
+    jobs = [(n, policy, seconds, seed) for n in range(len(names)) for policy in POLICIES]
+    with ProcessPoolExecutor() as pool:
+        tallies = dict(zip([(names[j[0]], j[1]) for j in jobs], pool.map(play, jobs)))
+    seen = {name: {p: tallies[name, p] for p in POLICIES} for name in names}
+    rows = [["day", "policy", "kept", "worth", "whole", "partial", "refused", "failed", "p50 ms", "p99 ms",
+             "load"]]
+    for name, by_policy in seen.items():
+        for policy, t in by_policy.items():
+            v = t.verdicts
+            rows.append([
+                name, policy, f"{kept(by_policy, policy):.3f}", f"{t.earned / t.offered:.3f}",
+                *(str(v[k]) for k in ("served", "partial", "refused", "failed")), f"{t.median_ms:.0f}",
+                f"{t.p99_ms:.0f}", f"{t.load_factor:.2f}"])
+    cost = deciding_cost(COST_RUNS if quick else MANY_RUNS, seed)
+    ours = [by_policy["budgets"] for by_policy in seen.values()]
+    figures = {
+        "kept": least(seen, "budgets"), "kept_fixed": least(seen, "fixed"), "kept_none": least(seen, "none"),
+        "writes_partial": sum(t.writes_partial for t in ours),
+        "writes_twice": sum(t.writes_twice for t in ours),
+        "late": sum(t.late + t.unanswered for t in ours),
+        "load_factor": round(max(t.load_factor for t in ours), 3),
+        **cost,
+        "requests_per_s": round(sum(t.requests for t in ours) / sum(t.took for t in ours)),
+        "by_day": {name: round(kept(by_policy, "budgets"), 3) for name, by_policy in seen.items()},
+        "seed": seed, "seconds": seconds,
+    }
+    return rows, figures, seen
+
+
+def deciding_cost(runs: int, seed: int) -> dict[str, Any]:
+    """The desk alone, through ``runs`` runs one after the other: processor time and memory.
+
+    The processor time is that of the whole loop, so it is the desk's and a little more.
+    """
+    settings = read_settings(Fields(offices.SETTINGS, "settings"))
+    desk, rng = Desk(office_plans(settings), seed, settings.classes), random.Random(seed)
+    replies, number, sent, open_runs = list[tuple[float, int, bytes]](), itertools.count(), 0, 0
+    peaks, begun, now = list[int](), time.process_time(), 1_000.0
+    kinds = rng.choices(offices.CLASSES, offices.MIX, k=1000)
+    orders: list[Order] = []
+    for n in range(runs):
+        now += 1 / RATE
+        while replies and replies[0][0] <= now:
+            when, _, ident = heapq.heappop(replies)
+            orders += desk.tick(when) + desk.reply(when, ident, Outcome.OK, b'{"ok":1}')
+        orders += desk.tick(now)
+        orders += desk.start(now, b"%016x" % n, kinds[n % 1000], "", b'{"n":1}', now + 1, now + 2)
+        for order in orders:
+            if isinstance(order, Send):
+                sent += 1
+                took = offices.PLACES[order.dependency].median * (0.5 + rng.random())
+                heapq.heappush(replies, (now + took, next(number), order.ident))
+        orders = []
+        if n % (runs // 4) == runs // 4 - 1:
+            peaks.append(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)
+    open_runs = len(desk.runs)
+    took = time.process_time() - begun
+    return {"us_per_call": round(1e6 * took / sent, 1), "cost_runs": runs, "runs_left_open": open_runs,
+            "memory_growth_kb": peaks[-1] - peaks[0]}
+
+
+def kept(by_policy: dict[str, Tally], policy: str) -> float:
+    return by_policy[policy].earned / by_policy["oracle"].earned
+
+
+def least(seen: dict[str, dict[str, Tally]], policy: str) -> float:
+    return round(min(kept(by_policy, policy) for by_policy in seen.values()), 3)
--- /dev/null
+++ b/saltcart/lab/experiments.py
@@ -0,0 +1,61 @@
+"""The experiments by name; each prints its table and ends with one JSON object."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from saltcart.lab import report
+
+
+@dataclass(frozen=True)
+class Choice:
+    """How an experiment is to be run."""
+
+    quick: bool = False
+    seed: int = 1
+    sockets: bool = False
+    plot: Path | None = None
+
+
+def budgets(choice: Choice) -> dict[str, Any]:
+    """Nine days of failing dependencies, against fixed time-outs, none, and an oracle."""
+    from saltcart.lab import budgets as experiment
+    from saltcart.lab import sockets
+
+    if choice.sockets:
+        seen = asyncio.run(sockets.play(choice.seed))
+        print(report.table([["", "share of worth"], *([k, f"{seen[k]:.3f}"] for k in ("sockets", "model"))]))
+        return {k: round(v, 4) for k, v in seen.items()} | {"seed": choice.seed}
+    rows, figures, days = experiment.run(choice.quick, choice.seed)
+    print(report.table(rows))
+    if choice.plot is not None:
+        report.plot_lines(choice.plot, {
+            day: {policy: [t.by_second[s] for s in range(int(figures["seconds"]))]
+                  for policy, t in by_policy.items()} for day, by_policy in days.items()}, "worth earned")
+    return figures
+
+
+def sketch(choice: Choice) -> dict[str, Any]:
+    """The quantile sketch beside a plain sorted window: bytes, error, time."""
+    from saltcart.lab import sketches
+
+    rows, figures = sketches.run(choice.quick, choice.seed)
+    print(report.table(rows))
+    return figures
+
+
+def clock(choice: Choice) -> dict[str, Any]:
+    """The model's event clock beside simpy's: events a second."""
+    from saltcart.lab import clocks
+
+    rows, figures = clocks.run(choice.quick)
+    print(report.table(rows))
+    return figures
+
+
+EXPERIMENTS: dict[str, Callable[[Choice], dict[str, Any]]] = {
+    "budgets": budgets, "sketch": sketch, "clock": clock}
--- /dev/null
+++ b/saltcart/lab/sockets.py
@@ -0,0 +1,135 @@
+"""The ninefold day through the real program: its own process, stand-ins and callers on loopback.
+
+It is played in real time.  The model plays the same day at the same rate, with the same draws; the two shares
+of worth lie side by side.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import tomli_w
+
+from saltcart.lab import offices
+from saltcart.lab.budgets import Play
+from saltcart.lab.dependency import ModelDependency
+from saltcart.lab.standins import AjpStandIn, IndexStandIn, Model, StandIn
+from saltcart.net.base import Connection, address
+from saltcart.wire import http1
+
+SECONDS, SOCKET_RATE = 16.0, 40.0
+SLOW = 1  # the number of the ninefold day
+START_WAIT = 30.0  # seconds for the program to say where it listens
+
+
+class Caller(Connection):
+    """Sends one request and keeps its answer."""
+
+    def __init__(self, data: bytes) -> None:
+        super().__init__()
+        self.data, self.parser = data, http1.ResponseParser(1 << 16)
+        self.answer: asyncio.Future[http1.Response] = asyncio.get_running_loop().create_future()
+
+    def opened(self) -> None:
+        self.send(self.data)
+
+    def received(self) -> None:
+        response = self.parser.next(self.buffer)
+        if response is not None and not self.answer.done():
+            self.answer.set_result(response)
+
+    def closed(self) -> None:
+        if not self.answer.done():
+            self.answer.set_exception(ConnectionResetError("closed without an answer"))
+
+
+def request(n: int, klass: str, rank: float, deadline: float) -> bytes:
+    body = b'{"n":%d}' % n
+    head = (f"POST /call/{klass} HTTP/1.1\r\nHost: lab\r\nRequest-Id: {n:016x}\r\n"
+            f"Received-At: {time.time() * 1000:.0f}\r\nBudget-Ms: {deadline * 1000:.0f}\r\n"
+            f"Footprint-Kb: 10\r\nPriority-Rank: {rank:.6f}\r\nContent-Length: {len(body)}\r\n")
+    if klass == "oddaja":
+        head += f"Once-Key: k{n}\r\n"
+    return head.encode() + b"Connection: close\r\n\r\n" + body
+
+
+async def play(seed: int) -> dict[str, float]:
+    """Shares of the offered worth that were earned: on sockets and in the model."""
+    day = offices.days(SECONDS)[SLOW]
+    model = Play(day, "budgets", SECONDS, seed, SOCKET_RATE)
+    loop = asyncio.get_running_loop()
+    origin = loop.time() + 3600  # set at the start; scripts are asked from then on alone
+    places = {name: ModelDependency(name, *place, len(model.arrivals), seed, origin)
+              for name, place in offices.PLACES.items()}
+    for name, trouble in day.troubles.items():
+        places[name].troubles.append(trouble)
+    stand_ins: dict[str, StandIn] = {
+        name: (IndexStandIn if name in offices.INDEX else AjpStandIn)(Model(place, loop.time))
+        for name, place in places.items()}
+    with tempfile.TemporaryDirectory() as folder:
+        for stand_in in stand_ins.values():
+            await stand_in.__aenter__()
+        try:
+            config, deployment = Path(folder, "config.json"), Path(folder, "saltcart.toml")
+            deployment.write_text(tomli_w.dumps(offices.tables({n: s.address for n, s in stand_ins.items()})))
+            config.write_text(json.dumps({"name": "lab", "listen": "127.0.0.1:0", "seed": f"{seed:x}",
+                                          "settings": offices.SETTINGS}))
+            environment = {**os.environ, "BALANCER_CONFIG": str(config),
+                           "SALTCART_DEPLOYMENT": str(deployment)}
+            program = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "saltcart", env=environment, stdout=asyncio.subprocess.PIPE)
+            try:
+                at = await listening(program)
+                earned, statuses = await call_all(model, places, at)
+            finally:
+                program.kill()
+                await program.communicate()
+        finally:
+            for stand_in in stand_ins.values():
+                await stand_in.__aexit__()
+    tally = model.run()
+    return {"sockets": earned / tally.offered, "model": tally.earned / tally.offered,
+            "requests": len(model.arrivals), "unanswered": statuses.count(0),
+            "writes_twice": sum(tries > 1 for tries in places["knjiga"].tries.values())}
+
+
+async def listening(program: asyncio.subprocess.Process) -> str:
+    assert program.stdout is not None
+    async with asyncio.timeout(START_WAIT):
+        while line := await program.stdout.readline():
+            told = json.loads(line)
+            if told["event"] == "listening":
+                return str(told["address"])
+    raise RuntimeError("the program ended before it listened")
+
+
+async def call_all(model: Play, places: dict[str, ModelDependency], at: str) -> tuple[float, list[int]]:
+    loop = asyncio.get_running_loop()
+    begun = loop.time() + 0.2
+    for place in places.values():
+        place.origin = begun
+
+    async def one(n: int) -> tuple[float, int]:
+        spec = model.settings.classes[model.kinds[n]]
+        await asyncio.sleep(begun + model.arrivals[n] - loop.time())
+        sent = loop.time()
+        try:
+            _, caller = await loop.create_connection(
+                lambda: Caller(request(n, spec.name, model.ranks[n], spec.deadline)), *address(at))
+            answer = await asyncio.wait_for(caller.answer, spec.deadline + 1)
+        except (OSError, TimeoutError):
+            return 0.0, 0
+        if answer.status != 200 or loop.time() - sent > spec.aim:
+            return 0.0, answer.status
+        left = answer.headers.get(b"left-out", b"").decode()
+        lost = sum(model.worths[spec.name][name] for name in left.split(", ") if name)
+        return spec.worth * (1 - lost), 200
+
+    ends = await asyncio.gather(*(one(n) for n in range(len(model.arrivals))))
+    return sum(worth for worth, _ in ends), [status for _, status in ends]
--- a/saltcart/net/upstreams.py
+++ b/saltcart/net/upstreams.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from saltcart.core.ports import Log, RunEvents
 from saltcart.deployment import Deployment, UpstreamConf
 from saltcart.interface import Outcome
 from saltcart.net.ajp import AjpUpstream, Member
 
 
+Told = Callable[[bytes, Outcome, bytes], None]
+
+
 class Upstreams:
     """Sends each run to its tenant's upstream, or to the first one where the tenant names none."""
 
@@ -16,6 +21,8 @@
         self.by_name: dict[str, AjpUpstream] = {}
         self.by_tenant: dict[str, str] = {}
         self.where: dict[bytes, AjpUpstream] = {}  # runs under way
+        self.asked: dict[bytes, Told] = {}  # calls of composed runs
+        self.calls: dict[bytes, AjpUpstream] = {}
         for conf in deployment.upstreams:
             self.put(conf)
         for tenant in deployment.tenants:
@@ -49,7 +56,8 @@
 
     # ---- the port -----------------------------------------------------------------------------
 
-    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float,
+              aim: float) -> None:
         name = self.by_tenant.get(account)
         upstream = self.by_name.get(name) if name else next(iter(self.by_name.values()), None)
         if upstream is None:
@@ -58,6 +66,23 @@
         self.where[ident] = upstream
         upstream.spawn(ident, klass, account, body, once, within)
 
+    def call(self, name: str, ident: bytes, what: str, account: str, body: bytes, within: float,
+             told: Told) -> bool:
+        """One call of a composed run: sent once, whatever becomes of it.  False: no such upstream."""
+        upstream = self.by_name.get(name)
+        if upstream is None:
+            return False
+        self.asked[ident], self.calls[ident] = told, upstream
+        upstream.spawn(ident, what, account, body, True, within)
+        return True
+
+    def give_up(self, ident: bytes) -> None:
+        """Nobody waits for this call any more, and nobody is told how it ends."""
+        upstream = self.calls.pop(ident, None)
+        self.asked.pop(ident, None)
+        if upstream is not None:
+            upstream.suspend(ident)
+
     def suspend(self, ident: bytes) -> None:
         if (upstream := self.where.get(ident)) is not None:
             upstream.suspend(ident)
@@ -76,5 +101,8 @@
         self.events.gauges((min(1.0, busy / self.slots), float(busy)))
 
     def _ended(self, ident: bytes, outcome: Outcome, took: float, result: bytes) -> None:
-        self.where.pop(ident, None)
-        self.events.run_ended(ident, outcome, took, result)
+        if (told := self.asked.pop(ident, None)) is not None:
+            del self.calls[ident]
+            told(ident, outcome, result)
+        elif self.where.pop(ident, None) is not None:
+            self.events.run_ended(ident, outcome, took, result)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -32,7 +32,8 @@
             self.service.pool_up(False, 100.0)
 
     # the ports
-    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float,
+              aim: float) -> None:
         self.said.append(("spawn", ident, klass, body, once))
 
     def suspend(self, ident: bytes) -> None:
--- a/tests/test_core_rules.py
+++ b/tests/test_core_rules.py
@@ -27,7 +27,8 @@
         self.under_way = set[bytes]()
         self.called = set[bytes]()
 
-    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float,
+              aim: float) -> None:
         assert ident not in self.started, "spawned twice"
         assert not self.answers[ident], "run after its answer"
         assert self.reached[ident] <= self.drained + SETTINGS.drain_grace, "run too late in a drain"
--- a/tests/test_mix.py
+++ b/tests/test_mix.py
@@ -26,7 +26,8 @@
     def __init__(self, app: App) -> None:
         self.service = app.service
 
-    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
+    def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float,
+              aim: float) -> None:
         outcome = Outcome.ERROR if int(ident, 16) % 11 == 0 else Outcome.OK
         self.service.timers.at(self.service.now + TAKES, self.service.run_ended, ident, outcome, TAKES, body)
 
