--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -369,7 +369,11 @@
             due = min(r.due, self.stop_at - STOP_MARGIN)
             self.runs.spawn(r.ask.ident, r.ask.klass, r.ask.account, r.ask.body,
                             r.spec.effect is not i.Effect.SAFE, due - self.now,
-                            r.ask.received + r.spec.aim - self.now)
+                            r.ask.received + r.spec.aim - self._early() - self.now)
+
+    def _early(self) -> float:
+        """How long before its aim the module may give up a run whose late answer is worth nothing."""
+        return 0.0 if self.controller is None else self.controller.sweep
 
     def _claim(self, r: Request) -> bool:
         """The entry of a keyed request stands before its run starts, for the whole window."""
--- a/saltcart/lab/experiments.py
+++ b/saltcart/lab/experiments.py
@@ -48,6 +48,15 @@
     return figures
 
 
+def ablations(choice: Choice) -> dict[str, Any]:
+    """The budgets with one part taken out, or put another way, on the same nine days."""
+    from saltcart.lab import ablations as experiment
+
+    rows, figures = experiment.run(choice.quick, choice.seed)
+    print(report.table(rows))
+    return figures
+
+
 def clock(choice: Choice) -> dict[str, Any]:
     """The model's event clock beside simpy's: events a second."""
     from saltcart.lab import clocks
@@ -58,4 +67,4 @@
 
 
 EXPERIMENTS: dict[str, Callable[[Choice], dict[str, Any]]] = {
-    "budgets": budgets, "sketch": sketch, "clock": clock}
+    "budgets": budgets, "ablations": ablations, "sketch": sketch, "clock": clock}
--- a/saltcart/lab/standins.py
+++ b/saltcart/lab/standins.py
@@ -46,6 +46,7 @@
     def __init__(self, script: Script) -> None:
         self.script, self.asked, self.given_up = script, list[Asked](), list[bytes]()
         self.connections = set[StandInConnection]()
+        self.replied = 0  # replies that were due, whether or not anybody still heard them
         self.address = ""
 
     async def __aenter__(self) -> Self:
@@ -82,6 +83,7 @@
             asyncio.get_running_loop().call_later(act.after, self._act, asked, act)
 
     def _act(self, asked: Asked, act: Act) -> None:
+        self.owner.replied += 1
         if act.kind == "drop":
             self.abort()
         else:
