An example of composed answers; a partial answer comes before a budget below the aim

Need: a runnable example, and what it showed: with a budget of 2.0 s under an aim of 2.2 s a silent optional dependency gave 500 in place of a partial answer.

--- /dev/null
+++ b/examples/dependencies.py
@@ -0,0 +1,46 @@
+"""Three toy dependencies for examples/budgets.toml: tarifa answers at once, arhiv is slow at each third call,
+and knjiga enters what it is sent.
+
+    python -m examples.dependencies [PORT]
+
+They listen on PORT and the two after it, in this order; 8011 unless a port is given, free ones with 0.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import sys
+
+from saltcart.lab.standins import Act, AjpStandIn, Asked, IndexStandIn, StandIn
+
+COUNT = itertools.count(1)
+
+
+def tariff(asked: Asked) -> Act:
+    return Act(after=0.03, body=b'{"rate":0.045}')
+
+
+def archive(asked: Asked) -> Act:
+    return Act(after=30.0 if next(COUNT) % 3 == 0 else 0.05, body=b'{"entries":2}')
+
+
+def ledger(asked: Asked) -> Act:
+    print("entered", asked.body.decode(), flush=True)
+    return Act(after=0.05, body=b'{"number":"LJ-1"}')
+
+
+async def main(port: int) -> None:
+    stand_ins: list[StandIn] = [AjpStandIn(tariff), IndexStandIn(archive), AjpStandIn(ledger)]
+    async with contextlib.AsyncExitStack() as stack:
+        for n, stand_in in enumerate(stand_ins):
+            stand_in.port = port + n if port else 0
+            await stack.enter_async_context(stand_in)
+        print("listening", *(s.address for s in stand_ins), flush=True)
+        await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(main(int(sys.argv[1]) if len(sys.argv) > 1 else 8011))
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -136,7 +136,7 @@
         service = self.service
         service.runs = self.composer = Composer(
             plans, service.settings.classes, upstreams, service, self.log, self.conf.seed, service.clock,
-            service.held)
+            service.held, service.early)
         service.composed = frozenset(self.composer.desk.plans)
         service.figures = self.composer.figures
 
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -369,11 +369,7 @@
             due = min(r.due, self.stop_at - STOP_MARGIN)
             self.runs.spawn(r.ask.ident, r.ask.klass, r.ask.account, r.ask.body,
                             r.spec.effect is not i.Effect.SAFE, due - self.now,
-                            r.ask.received + r.spec.aim - self._early() - self.now)
-
-    def _early(self) -> float:
-        """How long before its aim the module may give up a run whose late answer is worth nothing."""
-        return 0.0 if self.controller is None else self.controller.sweep
+                            r.ask.received + r.spec.aim - self.now)
 
     def _claim(self, r: Request) -> bool:
         """The entry of a keyed request stands before its run starts, for the whole window."""
@@ -541,6 +537,10 @@
             counts[klass, what] += count
         return counts
 
+    def early(self) -> float:
+        """The module's sweep: it gives a run up to one before its aim, and to three before its due time."""
+        return 0.0 if self.controller is None else self.controller.sweep
+
     def held(self) -> int:
         """Requests that wait for a slot."""
         return 0 if self.controller is None else self.controller.count[HELD]
--- a/saltcart/lab/budgets.py
+++ b/saltcart/lab/budgets.py
@@ -175,8 +175,9 @@
 
     def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float,
               aim: float) -> None:
-        now = self.events.now
-        self.do(self.desk.start, now, ident, klass, account, body, now + aim, now + within)
+        now, early = self.events.now, self.service.early()
+        aim_at, due_at = now + aim - early, now + within - 3 * early
+        self.do(self.desk.start, now, ident, klass, account, body, aim_at, due_at)
 
     def suspend(self, ident: bytes) -> None:
         self.do(self.desk.stop, self.events.now, ident)
--- a/saltcart/lab/standins.py
+++ b/saltcart/lab/standins.py
@@ -47,11 +47,11 @@
         self.script, self.asked, self.given_up = script, list[Asked](), list[bytes]()
         self.connections = set[StandInConnection]()
         self.replied = 0  # replies that were due, whether or not anybody still heard them
-        self.address = ""
+        self.address, self.port = "", 0
 
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: self.make(), "127.0.0.1", 0)
+        self.server = await loop.create_server(lambda: self.make(), "127.0.0.1", self.port)
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self
--- a/tests/test_composed.py
+++ b/tests/test_composed.py
@@ -96,7 +96,7 @@
 def test_both_fronts_get_the_composed_answer_and_are_told_what_it_leaves_out() -> None:
     async def test() -> None:
         silent = Act("silent")
-        async with site(archive=lambda asked: silent if asked.body == b"partial" else Act()) as s:
+        async with site(archive=lambda asked: silent if asked.body.startswith(b"partial") else Act()) as s:
             clients = [await HttpClient(s.app.addresses["http"]).open(),
                        await AjpClient(s.app.addresses["ajp"]).open()]
             for n, client in enumerate(clients):
@@ -120,6 +120,16 @@
     play(test)
 
 
+def test_a_partial_answer_comes_before_a_budget_that_is_shorter_than_the_aim() -> None:
+    async def test() -> None:
+        async with site(archive=lambda asked: Act("silent")) as s:
+            client = await HttpClient(s.app.addresses["http"]).open()
+            answer = await client.ask(1, budget="700")  # the module ends it three sweeps before that
+            assert (answer.status, answer.headers[b"left-out"]) == (200, b"archive")
+
+    play(test)
+
+
 def test_what_time_is_left_is_passed_on() -> None:
     async def test() -> None:
         async with site() as s:
