Retry storms: refused callers get a moment of their own, and floods are left unread

Need: when a room comes back its clients repeat without limit and unmarked, and reading what is refused takes the cores that should serve.

Change: saltcart/storm/ notices work that comes again by fingerprint in rotating Bloom filters, tells refused callers a moment from a calendar of the capacity to come (cold strength included), in Retry-After on both fronts, and holds what is read to what can be run, sources that crowd last.

--- a/saltcart/admin/api.py
+++ b/saltcart/admin/api.py
@@ -8,6 +8,7 @@
     GET, POST /v1/upstreams                 list, create
     GET, PUT, DELETE /v1/upstreams/N        show, replace, remove
     GET /v1/dependencies                    what composed runs know of theirs
+    GET /v1/storm                           retries, who amplifies, what callers are told
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
 
 if TYPE_CHECKING:
     from saltcart.net.composer import Composer
+    from saltcart.storm.damper import Damper
 
 Reply = tuple[int, Any]
 
@@ -41,12 +43,13 @@
 
 class Api:
     def __init__(self, service: Service, registry: Registry, token: str,
-                 composer: Composer | None = None) -> None:
+                 composer: Composer | None = None,
+                 damper: Callable[[], Damper | None] = lambda: None) -> None:
         self.service, self.registry, self.token = service, registry, token.encode()
-        self.composer = composer
+        self.composer, self.damper = composer, damper
         self.routes: dict[str, dict[str, Callable[..., Reply]]] = {
             "state": {"GET": self.state}, "counts": {"GET": self.counts},
-            "dependencies": {"GET": self.dependencies},
+            "dependencies": {"GET": self.dependencies}, "storm": {"GET": self.storm},
             "shares": {"GET": self.shares, "PUT": self.put_shares},
             "tenants": {"GET": self.tenants, "POST": self.post_tenant},
             "upstreams": {"GET": self.upstreams, "POST": self.post_upstream},
@@ -112,6 +115,10 @@
     def dependencies(self) -> Reply:
         return 200, {} if self.composer is None else self.composer.desk.state(self.service.clock())
 
+    def storm(self) -> Reply:
+        damper = self.damper()
+        return 200, {} if damper is None else damper.state(self.service.clock())
+
     # ---- tenants and shares -------------------------------------------------------------------
 
     def _tenant(self, name: str) -> dict[str, Any]:
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -20,6 +20,7 @@
 from saltcart.front.control import CONNECTIONS as CONTROL_CONNECTIONS
 from saltcart.front.control import ControlConnection
 from saltcart.front.http import HttpConnection
+from saltcart.interface import Settings
 from saltcart.net.announcer import Announcer
 from saltcart.net.clock import Ticker
 from saltcart.net.index import IndexClient
@@ -32,6 +33,8 @@
 if TYPE_CHECKING:
     from saltcart.budget.plan import Plans
     from saltcart.net.composer import Composer
+    from saltcart.storm.damper import Damper
+    from saltcart.storm.settings import StormSettings
 
 MOST_KEYS, ENTRY_KB = 4096, 5.5  # a result has 4 KiB at most
 ADMIN_IDLE, ADMIN_CONNECTIONS = 30.0, 16
@@ -80,6 +83,7 @@
         self.pool: PoolLink | None = None
         self.upstreams: Upstreams | None = None
         self.composer: Composer | None = None
+        self.damper: Damper | None = None
         self.runs: Runs | None = None  # set before the start: in the place of a pool or upstreams
         self.ticker: Ticker | None = None
 
@@ -93,6 +97,8 @@
             most = max(8, most - BESIDE)
         if conf.control:
             most = max(8, most - CONTROL_CONNECTIONS)
+        if self.deployment.storm is not None:
+            self._watch_storms(self.deployment.storm)
         if conf.announce:
             service.announce = self.announcer = Announcer(conf.announce, conf.name, self.log)
             self.announcer.start()
@@ -124,11 +130,25 @@
         if (admin := self.deployment.admin) is not None:
             registry = Registry(self.deployment, service, self.upstreams,
                                 Path(admin.state) if admin.state else None)
-            api = Api(service, registry, admin.token, self.composer)
+            api = Api(service, registry, admin.token, self.composer, lambda: self.damper)
             await self._listen("admin", Listener(
                 admin.listen, lambda owner: AdminConnection(owner, api), lambda: ADMIN_IDLE,
                 ADMIN_CONNECTIONS, shared=self.succession is not None))
 
+    def _watch_storms(self, conf: StormSettings) -> None:
+        """Tries that come again are told from new work, and who is refused is told when to come back."""
+        from saltcart.storm.damper import Damper
+
+        service = self.service
+
+        def make(settings: Settings, started: float) -> Damper:
+            damper = Damper(conf, settings, self.conf.seed, service.now, started)
+            service.figures.append(lambda: damper.figures(service.clock()))
+            self.damper = damper
+            return damper
+
+        service.make_storms = make
+
     def _compose(self, plans: Plans, upstreams: Upstreams) -> None:
         """Answers of the plans' classes are made of several dependencies' replies."""
         from saltcart.net.composer import Composer
@@ -138,7 +158,7 @@
             plans, service.settings.classes, upstreams, service, self.log, self.conf.seed, service.clock,
             service.held, service.early)
         service.composed = frozenset(self.composer.desk.plans)
-        service.figures = self.composer.figures
+        service.figures.append(self.composer.figures)
 
     async def _open_fronts(self, most: int) -> None:
         """Where clients connect; ``most`` connections in all."""
--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -206,7 +206,8 @@
         # Only where it is worth nothing: at a tenth of its worth, refusing it first lost 0.02 of the score.
         if self.pressure > 0 and s.over_quota_worth == 0 and self.past_quota(now, r.tenant):
             return True
-        inside, low = ev.standing * n % 1, self.order.index(r.k) >= n - self.low  # rank among its own class
+        # Rank among its own class; one that was told to come back now is thinned as late as the worthiest.
+        inside, low = ev.standing * n % 1, self.order.index(r.k) >= n - self.low and not ev.kept
         return inside < (self.pressure if low else self.pressure - 1)
 
     def past_quota(self, now: float, tenant: TenantSpec | None) -> bool:
--- a/saltcart/cli.py
+++ b/saltcart/cli.py
@@ -76,12 +76,14 @@
 @click.option("--quick", is_flag=True, help="A shorter run: under 40 s on eight cores.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--sockets", is_flag=True, help="Through the real program, on loopback and in real time.")
+@click.option("--nodes", type=click.IntRange(6, 5000), help="One size of the fleet alone.")
 @click.option("--plot", type=click.Path(path_type=Path, dir_okay=False), help="Write a plot to this file.")
-def run_experiment(name: str, quick: bool, seed: int, sockets: bool, plot: Path | None) -> None:
+def run_experiment(name: str, quick: bool, seed: int, sockets: bool, nodes: int | None,
+                   plot: Path | None) -> None:
     """Run the experiment NAME; its last line is one JSON object."""
     from saltcart.lab import report
     from saltcart.lab.experiments import EXPERIMENTS, Choice
 
     if name not in EXPERIMENTS:
         raise click.UsageError(f"no such experiment: {name}; there are {', '.join(EXPERIMENTS)}")
-    click.echo(report.figures(EXPERIMENTS[name](Choice(quick, seed, sockets, plot))))
+    click.echo(report.figures(EXPERIMENTS[name](Choice(quick, seed, sockets, plot, nodes))))
--- a/saltcart/core/ports.py
+++ b/saltcart/core/ports.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from saltcart.interface import Outcome
+from saltcart.interface import Entry, Outcome
 
 
 class Verdict(enum.Enum):
@@ -26,6 +26,7 @@
     body: bytes = b""
     hint: float | None = None  # the free value
     back_off: float = 0.0  # seconds
+    come_back: float = 0.0  # seconds until the moment that the calendar gave, if it gave one
     final: bool = False  # asks that no other server is tried
     left_out: tuple[str, ...] = ()  # dependencies that a partial answer does without
     remembered: tuple[str, ...] = ()  # those for which a last good answer stands in
@@ -46,6 +47,7 @@
     caller: int = 0
     key: bytes | None = None
     subject: str | None = None
+    last: bool = False  # let in after the others, for its source takes more than its part
     body: bytes = b""
 
 
@@ -85,6 +87,43 @@
     def __call__(self, event: str, **fields: object) -> None: ...
 
 
+class Try(Protocol):
+    """What is known of one try that arrived."""
+
+    @property
+    def mark(self) -> int: ...
+    @property
+    def again(self) -> bool: ...
+    @property
+    def kept(self) -> bool: ...
+    @property
+    def early(self) -> bool: ...
+
+
+class Return(Protocol):
+    """What a refused caller is told."""
+
+    @property
+    def after(self) -> float: ...
+    @property
+    def final(self) -> bool: ...
+
+
+class Storms(Protocol):
+    """Who tells tries that come again from new work, and says when a refused caller should come back."""
+
+    def arrived(self, now: float, account: str, klass: str, key: bytes | None, subject: str | None,
+                body: bytes) -> Try: ...
+    def refused(self, now: float, mark: int) -> Return: ...
+    def served(self, now: float, mark: int, again: bool) -> None: ...
+    def run_ended(self, now: float, took: float, full: bool) -> None: ...
+    def storm(self, now: float) -> bool: ...
+    def source(self, address: str) -> int: ...
+    def admits(self, now: float, source: int) -> Entry: ...
+    def unread(self, now: float, source: int) -> Return: ...
+    def tell(self, now: float, source: int, after: float) -> None: ...
+
+
 class RunEvents(Protocol):
     """The core's half of ``Runs``: what a pool tells it."""
 
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -15,7 +15,7 @@
 from saltcart import interface as i
 from saltcart.balance import HELD, Controller
 from saltcart.core.keys import Entry, Key, KeyTable, digest
-from saltcart.core.ports import Announce, Answer, Ask, Calls, Log, Reply, Runs, Verdict
+from saltcart.core.ports import Announce, Answer, Ask, Calls, Log, Reply, Runs, Storms, Try, Verdict
 from saltcart.core.timers import Timers
 
 CALL_SLACK = 0.15  # a call that gets no reply in its time is given up this much later
@@ -47,13 +47,14 @@
     """One request from its reading to the end of its run."""
 
     __slots__ = ("ask", "call_at", "call_body", "call_number", "due", "key", "notice", "number", "reply",
-                 "spec", "state", "stopped")
+                 "spec", "state", "stopped", "tried")
 
     def __init__(self, number: int, ask: Ask, spec: i.ClassSpec, due: float, reply: Reply) -> None:
         self.number, self.ask, self.spec, self.due = number, ask, spec, due
         self.reply: Reply | None = reply  # None once the answer is given or the caller gone
         self.state, self.stopped = State.HELD, False
         self.key: Key | None = None
+        self.tried: Try | None = None  # where storms are watched for
         self.notice, self.call_body, self.call_at, self.call_number = 0, b"", 0.0, 0
 
 
@@ -71,6 +72,10 @@
         self.runs: Runs
         self.calls: Calls | None = None
         self.announce: Announce | None = None
+        self.storms: Storms | None = None
+        # Made when the server is up, of its settings and its start; None where storms are not watched for.
+        self.make_storms: Callable[[i.Settings, float], Storms] | None = None
+        self.held_marks: dict[int, int] = {}  # safe requests that are held, by fingerprint
         self.timers = Timers()
         self.now = clock()
         self.numbers = itertools.count(1)
@@ -83,7 +88,7 @@
         # Told of keys whose fate is settled, once another process has taken over; nothing is taken then.
         self.heir: Callable[[Entry, bool], None] | None = None
         self.composed = frozenset[str]()  # classes whose answers are composed, and may be partial
-        self.figures: Callable[[], Iterable[tuple[str, int]]] = tuple  # further ones for the operators
+        self.figures: list[Callable[[], Iterable[tuple[str, int]]]] = []  # further ones for the operators
         self.withdrawn = False  # the operators send callers away; what still comes is served as always
         self.hint: float | None = None
         self.drain_at: float | None = None
@@ -153,11 +158,36 @@
         # The module answers in time by itself.  Should it not, the caller still gets its one answer.
         self.timers.at(r.due + self.settings.answer_slack / 2, self._overdue, r.number)
         patience = None if ask.budget is None else max(1e-3, due - now)
+        standing = ask.standing if self.storms is None else self._watch(self.storms, r, entry is None)
         self._feed(i.Arrived(
-            r.number, k, ask.size_kb, ask.standing, unread, patience, tenant, ask.cost, ask.subject, False,
-            spec.effect is not i.Effect.SAFE, ask.caller, None if entry is None else entry.holder))
+            r.number, k, ask.size_kb, standing, unread, patience, tenant, ask.cost, ask.subject, False,
+            spec.effect is not i.Effect.SAFE, ask.caller, None if entry is None else entry.holder,
+            r.tried is not None and r.tried.kept))
         return r.number
 
+    def _watch(self, storms: Storms, r: Request, new: bool) -> float:
+        """Tell a try that comes again from new work; returns the rank at which the module is told of it."""
+        ask, n = r.ask, len(self.settings.classes)
+        tried = r.tried = storms.arrived(self.now, ask.account, ask.klass, ask.key, ask.subject, ask.body)
+        if r.spec.effect is i.Effect.SAFE:
+            older = self.requests.get(self.held_marks.get(tried.mark, 0))
+            if older is not None and older.state is State.HELD and storms.storm(self.now):
+                self._supersede(storms, older)
+            self.held_marks[tried.mark] = r.number
+        foot = tried.early or ask.last
+        if not (tried.kept or foot) or not new:
+            return ask.standing
+        # At the top of its own class if it kept its moment; at the foot if it came before it, or in a crowd.
+        return (min(n - 1, int(ask.standing * n)) + (0.999 if tried.kept else 0.0)) / n
+
+    def _supersede(self, storms: Storms, r: Request) -> None:
+        """In a storm, the same work comes anew while it is held: whoever sent the older try has gone."""
+        if r.reply is not None and r.tried is not None:
+            back = storms.refused(self.now, r.tried.mark)
+            self._answer(r, Answer(Verdict.REFUSED, come_back=back.after, final=back.final))
+            self._feed(i.Abandoned(r.number))
+            self._settle(r)
+
     def abandon(self, number: int) -> None:
         """The caller has gone: nothing is owed any more."""
         r = self.requests.get(number)
@@ -258,6 +288,8 @@
         settings = self.settings = replace(self.settings, cold=cold)
         self.controller = Controller(settings, self.seed)
         started = now - max(0.0, age)
+        if self.make_storms is not None:
+            self.storms = self.make_storms(settings, started)
         for action in self.controller.handle(started, i.Started()):
             self.actions[type(action)](action)
         self._announce()
@@ -289,6 +321,10 @@
             if outcome is i.Outcome.MOOT and not r.notice:  # proof that nothing ran: the key is free
                 self.keys.never_ran(r.number)
                 self._fail_joined(entry)
+        if self.storms is not None and outcome is i.Outcome.OK:
+            self.storms.run_ended(self.now, took, self.held() > 0)
+            if r.tried is not None:
+                self.storms.served(self.now, r.tried.mark, r.tried.again)
         r.state = State.HELD  # nothing of it is left in the pool
         self._feed(i.Finished(r.number, outcome, took))
         self._answer(r, Answer(Verdict.FAILED))  # the module has answered by now; never leave one open
@@ -401,7 +437,12 @@
         if r is None or r.reply is None:
             return
         if r.state is State.HELD:
-            self._answer(r, Answer(Verdict.REFUSED, back_off=a.stay_away, final=a.nowhere_else))
+            answer = Answer(Verdict.REFUSED, back_off=a.stay_away, final=a.nowhere_else)
+            if self.storms is not None and r.tried is not None:
+                back = self.storms.refused(self.now, r.tried.mark)
+                answer.come_back, answer.final = back.after, back.final
+                answer.back_off = min(back.after, self.settings.max_stay_away)
+            self._answer(r, answer)
         else:  # what has run, or shares a run, is never refused
             self._answer(r, Answer(Verdict.FAILED))
         self._settle(r)
@@ -520,6 +561,11 @@
         reply, r.reply = r.reply, None
         if reply is not None:
             answer.hint = self.hint
+            if answer.verdict is Verdict.FAILED and self.storms is not None and r.key is not None:
+                # Its key may have run and stands for the rest of the window: no sooner is there more to say.
+                entry = self.keys.entries.get(r.key)
+                if entry is not None and entry.ran:
+                    answer.come_back = max(0.0, entry.until - self.now)
             self._count(r, answer.verdict.value)
             if answer.left_out:  # one of those served
                 self._count(r, "partial")
@@ -567,6 +613,8 @@
             return
         del self.requests[r.number]
         del self.by_ident[r.ask.ident]
+        if r.tried is not None and self.held_marks.get(r.tried.mark) == r.number:
+            del self.held_marks[r.tried.mark]
         entry = self._entry_held_by(r)
         if entry is not None:
             if not entry.ran:
--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from saltcart.budget.plan import Plans
+    from saltcart.storm.settings import StormSettings
 
 NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
 LOOPBACK = re.compile(r"(127(\.\d{1,3}){3}|localhost):")
@@ -69,6 +70,7 @@
     upstreams: tuple[UpstreamConf, ...] = ()
     tenants: tuple[TenantConf, ...] = ()
     plans: Plans | None = None  # how answers are composed of several dependencies' replies
+    storm: StormSettings | None = None  # how retry storms are damped
 
 
 def name(f: Fields, key: str = "name") -> str:
@@ -122,7 +124,7 @@
 
 def read(raw: Any) -> Deployment:
     try:
-        f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant", *PLANS)
+        f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant", "storm", *PLANS)
         ajp = admin = None
         if "ajp" in f.raw:
             a = only(f.part("ajp"), "enabled", "listen", "secret")
@@ -147,7 +149,13 @@
 
             tables = {key: f.raw[key] for key in PLANS if key in f.raw}
             plans = read_plans(tables, [u.name for u in upstreams])
-        return Deployment(ajp, admin, upstreams, tenants, plans)
+        storm = None
+        if "storm" in f.raw:
+            from saltcart.storm.settings import read_storm
+
+            storm = read_storm(f.part("storm").raw)
+        return Deployment(ajp, admin, upstreams, tenants, plans,
+                          storm if storm is not None and storm.enabled else None)
     except WireError as error:
         raise ConfigError(str(error)) from None
 
--- a/saltcart/front/ajp.py
+++ b/saltcart/front/ajp.py
@@ -20,6 +20,12 @@
     def unread(self) -> bytes | None:
         return None if self.parser.request is not None else super().unread()
 
+    def check_call(self) -> bool | None:
+        # What belongs to a request that was let in already is none of the door's.
+        if self.parser.request is not None:
+            return True
+        return self.buffer.peek(1, 4) == bytes([ajp.CPING]) if len(self.buffer) > 4 else None
+
     def step(self) -> bool:
         message = self.parser.next(self.buffer)
         match message:
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from math import ceil
 
 from saltcart.core.ports import Answer, Verdict
 from saltcart.core.service import Service, Unacceptable
 from saltcart.front.fields import read_ask
+from saltcart.interface import Entry
 from saltcart.net.listener import Listener, ServerConnection
 from saltcart.wire.errors import Malformed
 
@@ -23,6 +25,8 @@
         fields.append(("Server-Hint", f"{answer.hint:.4f}"))
     if answer.verdict is Verdict.REFUSED and answer.back_off > 0:
         fields.append(("Back-Off-Ms", str(max(1, round(answer.back_off * 1000)))))
+    if answer.come_back > 0:
+        fields.append(("Retry-After", str(max(1, ceil(answer.come_back)))))
     if answer.verdict is Verdict.REFUSED and answer.final:
         fields.append(("Final-Refusal", "1"))
     if answer.left_out:
@@ -42,6 +46,38 @@
         self.open = False  # a whole request was read and its answer is owed
         self.taking = False  # the core is being given a request: an answer at once goes on in the same turn
         self.ending = False  # an answer was given that ends the connection
+        # Where storms are watched for: who sends, whether the request that comes was let in, and whether
+        # last.
+        self.source = 0
+        self.entered = self.last = False
+
+    def check_call(self) -> bool | None:
+        """Whether a health check has begun, by its first bytes alone; None while there are too few."""
+        raise NotImplementedError
+
+    def opened(self) -> None:
+        super().opened()
+        if self.service.storms is not None and self.transport is not None:
+            peer = self.transport.get_extra_info("peername")
+            self.source = self.service.storms.source(peer[0] if peer else "")
+
+    def enters(self) -> bool:
+        """Whether the request whose first bytes are here may be read.  If not, it is turned back unread."""
+        storms = self.service.storms
+        if storms is None or self.entered or not len(self.buffer):
+            return True
+        check = self.check_call()
+        if check is None:
+            return False
+        now = self.service.clock()
+        entry = Entry.GO if check else storms.admits(now, self.source)
+        if entry is Entry.STOP:
+            back = storms.unread(now, self.source)
+            answer = Answer(Verdict.REFUSED, come_back=back.after, final=back.final)
+            self.cut_off(503, b"", answer_fields(answer))
+            return False
+        self.entered, self.last = True, entry is Entry.LAST
+        return True
 
     def step(self) -> bool:
         """Read one message and act on it; False while none is whole."""
@@ -84,7 +120,7 @@
             for _ in range(AT_ONCE):
                 if not self.able():
                     break
-                if not self.step():
+                if not self.enters() or not self.step():
                     if self.partial():  # its time runs, whatever was answered before it
                         self.awaits()
                     return
@@ -118,17 +154,18 @@
         else:
             self.close()
 
-    def cut_off(self, status: int, why: bytes) -> None:
+    def cut_off(self, status: int, why: bytes, fields: Fields = ()) -> None:
         """Answer what was no request.  Nothing more is read; what still comes must not cost that answer."""
         if self.ending or self.transport is None or self.transport.is_closing():
             return
         self.keep_alive, self.ending = False, True
-        self.write(status, why)
+        self.write(status, why, fields)
         self.awaits()  # it may make way for others
         self.end()
 
     def respond(self, status: int, body: bytes = b"", fields: Fields = ()) -> None:
         self.write(status, body, fields)
+        self.entered = False
         self.rests()
         if not self.keep_alive:
             self.close()
@@ -147,6 +184,7 @@
         else:
             try:
                 ask = read_ask(path, headers, body, self.service.clock())
+                ask.last = self.last
                 self.open = self.taking = True
                 number = self.service.arrive(ask, self.reply)
             except Unacceptable as error:
@@ -159,6 +197,8 @@
 
     def reply(self, answer: Answer) -> None:
         self.open, self.number = False, 0
+        if answer.come_back > 0 and self.service.storms is not None:
+            self.service.storms.tell(self.service.clock(), self.source, answer.come_back)
         if self.service.idle_after < CLOSE_ON_ANSWER:
             self.keep_alive = False
         self.respond(STATUS[answer.verdict], answer.body, answer_fields(answer))
--- a/saltcart/front/control.py
+++ b/saltcart/front/control.py
@@ -53,5 +53,5 @@
             if klass in self.service.composed:
                 lines.append(statsd(f"partial.{klass}", counts[klass, "partial"], "c"))
         lines.append(statsd("open_requests", self.service.open_requests(), "g"))
-        lines += [statsd(name, value, "g") for name, value in self.service.figures()]
+        lines += [statsd(name, value, "g") for more in self.service.figures for name, value in more()]
         return "".join(lines) + "END\n"
--- a/saltcart/front/fields.py
+++ b/saltcart/front/fields.py
@@ -60,4 +60,4 @@
         number(headers, b"footprint-kb", None, 1e-9, math.nextafter(2000, 0)),
         number(headers, b"priority-rank", 0.0, 0, math.nextafter(1, 0)),
         None if math.isnan(cost) else cost / 1000, int(number(headers, b"sent-by", 0, 0, 1e9, DIGITS)),
-        key, None if subject is None else subject.decode("latin-1"), body)
+        key, None if subject is None else subject.decode("latin-1"), body=body)
--- a/saltcart/front/http.py
+++ b/saltcart/front/http.py
@@ -20,6 +20,10 @@
     def unread(self) -> bytes | None:
         return self.parser.raw + self.buffer.peek(len(self.buffer))
 
+    def check_call(self) -> bool | None:
+        begun = self.buffer.peek(4)
+        return begun == b"GET " if len(begun) == 4 or not b"GET ".startswith(begun) else None
+
     def step(self) -> bool:
         request = self.parser.next(self.buffer)
         if request is None:
--- a/saltcart/interface.py
+++ b/saltcart/interface.py
@@ -57,6 +57,14 @@
     BROKEN = "call broke off; may have had its effect"
 
 
+class Entry(enum.Enum):
+    """What becomes of a connection that brings a request."""
+
+    STOP = "not read"
+    GO = "read"
+    LAST = "read, for others left room; its requests come after theirs"
+
+
 @dataclass(frozen=True, slots=True)
 class ClassSpec:
     """One class of requests."""
@@ -149,6 +157,7 @@
     write: bool = False
     caller: int = 0
     repeat_of: int | None = None  # an earlier try, or read, that this one repeats
+    kept: bool = False  # its caller was told to come back now: it is not thinned out with its class
 
 
 class Finished(NamedTuple):
--- a/saltcart/lab/experiments.py
+++ b/saltcart/lab/experiments.py
@@ -19,6 +19,7 @@
     seed: int = 1
     sockets: bool = False
     plot: Path | None = None
+    nodes: int | None = None
 
 
 def budgets(choice: Choice) -> dict[str, Any]:
@@ -39,6 +40,17 @@
     return figures
 
 
+def storm(choice: Choice) -> dict[str, Any]:
+    """A room of a third of the nodes goes and comes back cold, while clients repeat without limit."""
+    from saltcart.lab import storm as experiment
+
+    rows, figures, worth = experiment.run(choice.quick, choice.seed, choice.nodes)
+    print(report.table(rows))
+    if choice.plot is not None:
+        report.plot_lines(choice.plot, worth, "share of worth kept")
+    return figures
+
+
 def sketch(choice: Choice) -> dict[str, Any]:
     """The quantile sketch beside a plain sorted window: bytes, error, time."""
     from saltcart.lab import sketches
@@ -57,6 +69,15 @@
     return figures
 
 
+def filters(choice: Choice) -> dict[str, Any]:
+    """The filter of refused work beside a plain dict: bytes, error, time."""
+    from saltcart.lab import filters as experiment
+
+    rows, figures = experiment.run(choice.quick, choice.seed)
+    print(report.table(rows))
+    return figures
+
+
 def clock(choice: Choice) -> dict[str, Any]:
     """The model's event clock beside simpy's: events a second."""
     from saltcart.lab import clocks
@@ -67,4 +88,5 @@
 
 
 EXPERIMENTS: dict[str, Callable[[Choice], dict[str, Any]]] = {
-    "budgets": budgets, "ablations": ablations, "sketch": sketch, "clock": clock}
+    "budgets": budgets, "storm": storm, "ablations": ablations, "sketch": sketch, "filters": filters,
+    "clock": clock}
--- /dev/null
+++ b/saltcart/storm/damper.py
@@ -0,0 +1,163 @@
+"""The one object that the core speaks to: what a try is, and when its caller should come back.
+
+It refuses nothing by itself.  The module decides who is let in: it is told that a caller has kept its
+moment, and that one has come before it.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from saltcart.interface import Entry, Settings
+from saltcart.storm.appointments import Appointments
+from saltcart.storm.calendar import LEAST_SHARE, Calendar
+from saltcart.storm.capacity import Strength, Throughput
+from saltcart.storm.filters import Counts, Heavy, Seen
+from saltcart.storm.fingerprints import Fingerprints
+from saltcart.storm.gate import Gate
+from saltcart.storm.settings import StormSettings
+from saltcart.storm.sources import Sources
+from saltcart.storm.weather import Sky, Weather
+
+EARLY = 0.1  # seconds before its moment from which a caller is on time
+CROWD = 1.5  # equal parts of what is let in, beyond which a source only has what others leave
+FEEDS = 2.0  # tries for each new request from which going round the list only feeds the storm
+
+
+class Try(NamedTuple):
+    """What is known of one try."""
+
+    mark: int  # its fingerprint
+    again: bool  # it was refused here of late
+    kept: bool  # it comes at the moment that it was given
+    early: bool  # it comes before that
+
+
+class Return(NamedTuple):
+    """What a caller that is refused is told; ``after``: seconds until its moment."""
+
+    after: float
+    final: bool  # no other server should be tried
+
+
+class Damper:
+    def __init__(self, conf: StormSettings, settings: Settings, seed: int, now: float,
+                 started: float) -> None:
+        self.conf, self.rng = conf, random.Random(seed)
+        self.fingerprints = Fingerprints(self.rng.getrandbits(64))
+        self.refusals = Seen(conf.memory)
+        self.counts, self.heavy = Counts(conf.memory), Heavy()
+        self.appointments, self.weather = Appointments(now - 1.0), Weather()
+        strength = Strength(settings, started)
+        self.throughput = Throughput(strength, settings.cores, conf.reading)
+        self.calendar = Calendar(self.rng, conf.horizon, self._room)
+        self.gate = Gate(conf.over, self.capacity, self.storm)
+        self.sources = Sources()
+        self.gated = False  # tries are counted at the door
+        self.now, self.kept, self.early, self.again = now, 0, 0, 0
+        self.told, self.full = 0, 0
+
+    def _room(self, when: float) -> float:
+        """Places a second for callers that return: the capacity then, less the new work of now."""
+        capacity = self.throughput.rate(self.now, when)
+        return max(LEAST_SHARE * capacity, capacity - self.weather.new_rate(self.now))
+
+    def capacity(self, now: float) -> float:
+        return self.throughput.rate(now, now)
+
+    # ---- what the fronts and the core tell ----------------------------------------------------
+
+    def admits(self, now: float, source: int) -> Entry:
+        """A connection of this source (a digest of its address) brings a request: may it be read?"""
+        self.now, self.gated = now, True
+        self.weather.offered(now)
+        count = self.sources.offered(now, source)
+        part = self.sources.part(self.conf.over * self.capacity(now))
+        moment = self.appointments.get(source)
+        hurried = moment is not None and now < moment - EARLY
+        # A source with much work has many moments at once: it is held to its part, not to one of them.
+        last = count > CROWD * part or (hurried and count > part)
+        if not self.gate.admits(now, last):
+            return Entry.STOP
+        return Entry.LAST if last else Entry.GO
+
+    def arrived(self, now: float, account: str, klass: str, key: bytes | None, subject: str | None,
+                body: bytes) -> Try:
+        self.now = now
+        mark = self.fingerprints.of(account, klass, key, subject, body)
+        again = self.refusals.has(now, mark)
+        if not self.gated:
+            self.weather.offered(now)
+        self.weather.arrived(now, again)
+        if not again:
+            return Try(mark, False, False, False)
+        self.again += 1
+        self.counts.add(now, mark)
+        self.heavy.add(now, account)
+        moment = self.appointments.get(mark)
+        if moment is None or now > moment + self.conf.grace:
+            return Try(mark, True, False, False)
+        early = now < moment - EARLY
+        self.early += early
+        self.kept += not early
+        return Try(mark, True, not early, early)
+
+    def refused(self, now: float, mark: int) -> Return:
+        """A try was turned away.  One that came early is told the same moment again."""
+        self.now = now
+        self.weather.refused(now)
+        self.refusals.add(now, mark)
+        return self._moment(now, mark, self.storm(now) and self.weather.amplification(now) >= FEEDS)
+
+    def _moment(self, now: float, mark: int, feeds: bool) -> Return:
+        moment = self.appointments.get(mark)
+        if moment is None or moment < now + EARLY:
+            moment = self.calendar.give(now, self.conf.least)
+            if moment is None:  # nothing is free in all the horizon: a moment beyond it, and no place
+                self.full += 1
+                return Return(self.conf.horizon * (1 + self.rng.random() / 2), True)
+            self.appointments.put(now, mark, moment)
+            self.told += 1
+        return Return(max(0.0, moment - now), feeds)
+
+    def served(self, now: float, mark: int, again: bool) -> None:
+        self.now = now
+        if again:
+            self.appointments.remove(mark)
+
+    def run_ended(self, now: float, took: float, full: bool) -> None:
+        self.throughput.run_ended(now, took, full)
+
+    def unread(self, now: float, source: int) -> Return:
+        """A connection that was not read: its source is given a moment, the same until then."""
+        return self._moment(now, source, False)
+
+    def source(self, address: str) -> int:
+        """The digest by which a source is known."""
+        return self.fingerprints.of(address, "", None, None, b"")
+
+    def tell(self, now: float, source: int, after: float) -> None:
+        """A source was told to come back ``after`` seconds: until then it has only what others leave."""
+        self.appointments.put(now, source, now + after)
+
+    # ---- a look at it -------------------------------------------------------------------------
+
+    def storm(self, now: float) -> bool:
+        return self.weather.look(now, self.capacity(now)) is Sky.STORM
+
+    def bytes(self) -> int:
+        """What the sketches and tables hold."""
+        return self.refusals.bytes() + self.counts.bytes() + self.appointments.bytes()
+
+    def figures(self, now: float) -> list[tuple[str, int]]:
+        w = self.weather
+        return [("storm.on", int(self.storm(now))), ("storm.storms", w.storms),
+                ("storm.amplification_percent", round(100 * w.amplification(now))),
+                ("storm.new_per_s", round(w.new_rate(now))), ("storm.again", self.again),
+                ("storm.kept", self.kept), ("storm.early", self.early), ("storm.told", self.told),
+                ("storm.calendar_full", self.full), ("storm.unread", self.gate.stopped)]
+
+    def state(self, now: float) -> dict[str, object]:
+        return {**{name.removeprefix("storm."): value for name, value in self.figures(now)},
+                "amplifiers": [{"tenant": name, "tries": round(count)} for name, count in self.heavy.top()]}
--- /dev/null
+++ b/saltcart/storm/gate.py
@@ -0,0 +1,48 @@
+"""How many requests a second are read while a storm lasts: no more than can be run as well.
+
+A token bucket whose rate follows the capacity, cold strength included.  It is there in calm times too, so
+that a flood is bounded before anybody has called it a storm.  What it does not let in costs a connection
+and a short answer, and nothing of it is read.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from saltcart.storm.weather import Rate
+
+CALM = 1.0  # of the capacity, let in while there is no storm
+BURST = 1.0  # seconds' worth that may be saved
+FEWEST = 4.0  # tokens that may be saved, however weak the server
+FILLED = 0.7  # of the capacity, up to which those who come last are let in: full cores make the others wait
+SOME = 0.05  # of the capacity is theirs in any case
+
+
+class Gate:
+    """``over``: what is let in, of the capacity; ``capacity``: requests a second that the server does now."""
+
+    def __init__(self, over: float, capacity: Callable[[float], float],
+                 storm: Callable[[float], bool]) -> None:
+        self.over, self.capacity, self.storm = over, capacity, storm
+        self.tokens, self.spare, self.at = FEWEST, 1.0, 0.0
+        self.others = Rate(2.0)  # let in, of those who don't come last
+        self.passed = self.stopped = 0
+
+    def admits(self, now: float, last: bool = False) -> bool:
+        """May one more request be read?  ``last``: it only has what others leave."""
+        capacity, passed = self.capacity(now), max(0.0, now - self.at)
+        rate = (self.over if self.storm(now) else CALM) * capacity
+        left = max(SOME * capacity, FILLED * capacity - self.others.per_second(now))
+        self.tokens = min(max(FEWEST, BURST * rate), self.tokens + passed * rate)
+        self.spare = min(max(1.0, BURST * left), self.spare + passed * left)
+        self.at = now
+        if self.tokens < 1 or (last and self.spare < 1):
+            self.stopped += 1
+            return False
+        self.tokens -= 1
+        if last:
+            self.spare -= 1
+        else:
+            self.others.add(now)
+        self.passed += 1
+        return True
--- /dev/null
+++ b/tests/test_storm_parts.py
@@ -0,0 +1,292 @@
+"""The parts of storm damping, each by itself: sketches, appointments, calendar, weather, gate, sources."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from saltcart.core.service import Service
+from saltcart.interface import ClassSpec, Effect, Entry, Settings
+from saltcart.settings import WireError
+from saltcart.storm.appointments import TICK, Appointments
+from saltcart.storm.calendar import BUCKET, Calendar
+from saltcart.storm.capacity import Strength, Throughput
+from saltcart.storm.damper import Damper
+from saltcart.storm.filters import Counts, Heavy, Seen
+from saltcart.storm.fingerprints import Fingerprints
+from saltcart.storm.gate import FEWEST, Gate
+from saltcart.storm.settings import StormSettings, read_storm
+from saltcart.storm.sources import ROOM, Sources
+from saltcart.storm.weather import Sky, Weather
+
+SETTINGS = Settings(
+    classes=(ClassSpec("read", Effect.SAFE, 1.0, 3.0, 1.0),), cores=4, memory_kb=1e5, answer_slack=0.1,
+    drain_grace=1.0, crowd_limit=8.0, crowd_span=2.0, cold_from=0.25, cold_span=8.0, cold=True)
+DIGESTS = st.integers(0, (1 << 64) - 1)
+
+
+def damper(seed: int = 1, **more: float) -> Damper:
+    return Damper(StormSettings(**more), SETTINGS, seed, 100.0, 0.0)  # type: ignore[arg-type]
+
+
+# ---- fingerprints and sketches ----------------------------------------------------------------
+
+
+def test_a_fingerprint_tells_what_is_the_same_work_and_nothing_else() -> None:
+    of = Fingerprints(7).of
+    first = of("acme", "oddaja", b"k", None, b"body")
+    assert first == of("acme", "oddaja", b"k", None, b"body")
+    others = [of("acmf", "oddaja", b"k", None, b"body"), of("acme", "read", b"k", None, b"body"),
+              of("acme", "oddaja", b"l", None, b"body"), of("acme", "oddaja", b"k", "s", b"body"),
+              of("acme", "oddaja", b"k", None, b"bodz"), of("acm", "eoddaja", b"k", None, b"body"),
+              Fingerprints(8).of("acme", "oddaja", b"k", None, b"body")]
+    assert len({first, *others}) == len(others) + 1
+
+
+@given(st.lists(st.tuples(DIGESTS, st.floats(0, 5)), max_size=200))
+def test_what_was_seen_is_known_for_its_span_and_forgotten_after_twice_that(
+        steps: list[tuple[int, float]]) -> None:
+    seen, now, added = Seen(10.0, 14), 0.0, dict[int, float]()
+    for digest, gap in steps:
+        now += gap
+        seen.add(now, digest)
+        added[digest] = now
+        assert all(seen.has(now, d) for d, at in added.items() if now - at <= 10.0)
+    assert not any(seen.has(now + 21.0, d) for d in added)
+
+
+def test_the_filter_is_wrong_as_seldom_as_stated() -> None:
+    seen, rng = Seen(1000.0), random.Random(2)
+    for _ in range(60_000):  # a minute of a thousand refusals a second
+        seen.add(0.0, rng.getrandbits(64))
+    wrong = sum(seen.has(0.0, rng.getrandbits(64)) for _ in range(20_000))
+    assert wrong / 20_000 < 0.002 and seen.bytes() == 262_144
+
+
+@given(st.lists(st.integers(0, 40), max_size=400))
+def test_counts_are_never_too_low(numbers: list[int]) -> None:
+    counts, true = Counts(100.0, 8), Counter[int]()
+    for n in numbers:
+        true[n] += 1
+        assert counts.add(1.0, n * 0x9E3779B97F4A7C15 & (1 << 64) - 1) >= true[n]
+
+
+def test_counts_halve_with_time_and_the_heaviest_names_are_kept() -> None:
+    counts = Counts(10.0)
+    for _ in range(8):
+        counts.add(0.0, 5)
+    assert counts.add(10.5, 5) == 5 and counts.add(200.0, 5) == 1
+    heavy, rng = Heavy(8), random.Random(3)
+    for n in range(4000):
+        heavy.add(n * 0.001, "loud" if n % 4 == 0 else f"small-{rng.randrange(500)}")
+    assert heavy.top(1)[0][0] == "loud" and len(heavy.counts) <= 8
+
+
+@given(st.lists(st.tuples(DIGESTS, st.floats(0, 600)), max_size=60))
+def test_an_appointment_is_given_back_as_it_was_made(pairs: list[tuple[int, float]]) -> None:
+    table, made = Appointments(0.0, 10), dict[int, float]()
+    for digest, moment in pairs:
+        table.put(0.0, digest, moment)
+        made[digest] = moment
+    for digest, moment in made.items():  # far under its size: nothing had to make way
+        got = table.get(digest)
+        assert got is not None and abs(got - moment) <= TICK
+    for digest in made:
+        table.remove(digest)
+        assert table.get(digest) is None
+
+
+def test_a_full_table_of_appointments_keeps_its_size_and_loses_the_oldest() -> None:
+    table, rng = Appointments(0.0, 8), random.Random(4)
+    size, digests = table.bytes(), [rng.getrandbits(64) for _ in range(4000)]
+    for n, digest in enumerate(digests):
+        table.put(0.0, digest, float(n))
+    assert table.bytes() == size
+    held = [table.get(d) is not None for d in digests]
+    assert sum(held[-500:]) > 450 and sum(held[:2000]) < 200
+
+
+# ---- when to come back ------------------------------------------------------------------------
+
+
+def test_the_calendar_gives_each_place_once_and_spreads_them() -> None:
+    calendar = Calendar(random.Random(5), 30.0, lambda when: 20.0)
+    moments = [calendar.give(0.0, 0.2) for _ in range(200)]
+    given_out = sorted(m for m in moments if m is not None)
+    assert len(given_out) == 200 and given_out[0] >= 0.2 and given_out[-1] < 200 / 20 + 3
+    by_bucket = Counter(int(m / BUCKET) for m in given_out)
+    assert max(by_bucket.values()) <= 2  # 20 a second in tenths of one
+    assert moments != sorted(m for m in moments if m is not None)  # not in the order of asking
+
+
+def test_a_full_calendar_says_so_and_old_places_are_gone() -> None:
+    calendar = Calendar(random.Random(6), 3.0, lambda when: 10.0)
+    given_out = [calendar.give(0.0, 0.0) for _ in range(100)]
+    assert 20 <= sum(m is not None for m in given_out) <= 40 and given_out[-1] is None
+    assert calendar.give(10.0, 0.0) is not None
+
+
+def test_a_cold_servers_calendar_has_more_room_later() -> None:
+    strength = Strength(SETTINGS, 0.0)
+    assert [strength.at(t) for t in (0, 4, 8, 99)] == [0.25, 0.625, 1.0, 1.0]
+    calendar = Calendar(random.Random(7), 30.0, lambda when: 40 * strength.at(when))
+    moments = [m for m in (calendar.give(0.0, 0.0) for _ in range(150)) if m is not None]
+    early, late = (sum(a <= m < a + 1 for m in moments) for a in (0, 4))
+    assert late > 1.5 * early
+
+
+def test_callers_of_two_servers_are_not_told_the_same_moments() -> None:
+    first, second = ([damper(seed).refused(100.0, n).after for n in range(30)] for seed in (1, 2))
+    assert len(set(first) & set(second)) == 0
+
+
+def test_throughput_is_learned_while_the_server_is_full() -> None:
+    through = Throughput(Strength(SETTINGS, -100.0), 4, 0.25)
+    assert through.warm_rate(0.0) == 4.0  # nothing is known: a run a second on each core
+    through.run_ended(0.0, 0.2, False)
+    assert through.warm_rate(0.0) == pytest.approx(4 / 0.2 / 1.25)
+    for n in range(200):
+        through.run_ended(n * 0.1, 0.2, True)
+    assert through.warm_rate(20.0) == pytest.approx(10.0, rel=0.1)
+
+
+# ---- the weather and the door -----------------------------------------------------------------
+
+
+def test_a_storm_begins_within_half_a_second_and_ends_after_some_quiet() -> None:
+    weather = Weather()
+    for n in range(200):  # calm: 40 a second
+        weather.offered(n * 0.025)
+        weather.arrived(n * 0.025, False)
+        assert weather.look(n * 0.025, 50.0) is Sky.CALM
+    now = 5.0
+    while weather.look(now, 50.0) is Sky.CALM:  # then every other try comes again, and 80 a second do
+        weather.offered(now)
+        weather.arrived(now, int(now * 80) % 2 == 0)
+        now += 1 / 80
+    assert now - 5.0 <= 0.5 and 1.2 < weather.amplification(now) < 2.5
+    while weather.look(now, 50.0) is Sky.STORM:
+        weather.offered(now)
+        weather.arrived(now, False)
+        now += 0.025
+    assert 2.0 <= now - 5.0 < 8.0
+
+
+def test_a_cold_server_knows_a_flood_without_any_memory() -> None:
+    weather, now = Weather(), 0.0
+    while weather.look(now, 10.0) is Sky.CALM and now < 2:
+        weather.offered(now)
+        weather.arrived(now, False)
+        if int(now * 100) % 2:
+            weather.refused(now)
+        now += 0.01
+    assert now <= 0.5
+
+
+@pytest.mark.parametrize("surge", [1.3, 1.45, 1.6])
+def test_a_surge_of_new_work_is_no_storm(surge: float) -> None:
+    weather, rng, now = Weather(), random.Random(8), 0.0
+    while now < 60:
+        now += rng.expovariate(surge * 65)
+        weather.offered(now)
+        weather.arrived(now, False)
+        if rng.random() < max(0.0, 1 - 100 / (surge * 65)):
+            weather.refused(now)
+        assert weather.look(now, 100.0) is Sky.CALM
+
+
+def test_the_gate_lets_in_what_can_be_run_and_leaves_the_rest_unread() -> None:
+    for storm in (False, True):
+        gate = Gate(0.9, lambda now: 20.0, lambda now, storm=storm: storm)  # type: ignore[misc]
+        passed = sum(gate.admits(n * 0.01) for n in range(1000))  # 100 a second for 10 s
+        assert passed <= 20 * 10 + 20 + FEWEST and passed >= 0.9 * 20 * 10 - 1
+        assert gate.passed == passed and gate.passed + gate.stopped == 1000
+
+
+def test_who_comes_last_has_only_what_others_leave() -> None:
+    gate = Gate(1.0, lambda now: 20.0, lambda now: True)
+    passed = Counter[bool]()
+    for n in range(4000):
+        last = n % 5 != 0  # 16 of the others a second, and 64 that come last
+        passed[last] += gate.admits(n * 0.0125, last)
+    assert passed[False] >= 0.97 * 800 and passed[True] <= 0.15 * 20 * 50
+
+
+def test_a_sources_crowd_is_told_from_a_quiet_source() -> None:
+    sources = Sources()
+    for n in range(300):
+        loud = sources.offered(n * 0.02, 1)
+        if n % 50 == 0:
+            quiet = sources.offered(n * 0.02, 2)
+    assert loud > 3 * sources.part(10.0) and quiet < sources.part(10.0)
+    for n in range(ROOM + 500):
+        sources.offered(6.0, n)
+    assert len(sources.offers) <= ROOM
+    sources.offered(60.0, 1)
+    assert len(sources.offers) == 1
+
+
+# ---- all of it --------------------------------------------------------------------------------
+
+
+def test_who_keeps_its_moment_is_known_and_who_comes_early_is_told_the_same_again() -> None:
+    d = damper()
+    first = d.arrived(100.0, "acme", "read", None, None, b"x")
+    assert (first.again, first.kept, first.early) == (False, False, False)
+    back = d.refused(100.0, first.mark)
+    assert back.after >= 0.2
+    early = d.arrived(100.0 + back.after / 4, "acme", "read", None, None, b"x")
+    assert (early.again, early.early) == (True, back.after / 4 < back.after - 0.1)
+    told = d.refused(100.0 + back.after / 4, early.mark)
+    assert told.after == pytest.approx(back.after * 3 / 4, abs=0.06)
+    kept = d.arrived(100.0 + back.after + 0.05, "acme", "read", None, None, b"x")
+    assert (kept.again, kept.kept, kept.early) == (True, True, False)
+    late = d.arrived(100.0 + back.after + 10.0, "acme", "read", None, None, b"x")
+    assert late.again and not late.kept
+    d.served(120.0, kept.mark, True)
+    assert d.appointments.get(kept.mark) is None
+
+
+def test_a_source_that_was_turned_back_unread_is_told_one_moment_until_then() -> None:
+    d = damper()
+    source = d.source("192.0.2.1")
+    after = [d.unread(100.0 + n * 0.05, source).after + n * 0.05 for n in range(3)]
+    assert max(after) - min(after) < 2 * TICK and d.source("192.0.2.2") != source
+
+
+def test_a_crowd_is_let_in_last() -> None:
+    d = damper()
+    d.throughput.run_ended(100.0, 0.2, False)  # 19 a second
+    loud, quiet = d.source("loud"), d.source("quiet")
+    seen = Counter[tuple[str, Entry]]()
+    for n in range(2000):
+        now = 100.0 + n * 0.01
+        seen["loud", d.admits(now, loud)] += 1
+        if n % 50 == 0:
+            seen["quiet", d.admits(now, quiet)] += 1
+    assert seen["quiet", Entry.GO] >= 38  # one may meet the bucket that the crowd has just emptied
+    assert seen["loud", Entry.STOP] > 1000 and seen["loud", Entry.LAST] > seen["loud", Entry.GO]
+
+
+def test_memory_stays_within_its_bound_at_a_thousand_refusals_a_second() -> None:
+    d, rng = damper(), random.Random(9)
+    for n in range(20_000):
+        d.refused(100.0 + n * 0.001, rng.getrandbits(64))
+    assert d.bytes() <= 1 << 20 and len(d.calendar.places) <= 60 / BUCKET + 20
+
+
+@pytest.mark.parametrize(("raw", "reason"), [
+    ({"horizon": 0.1}, "storm.horizon"), ({"grace": "x"}, "storm.grace"), ({"hroizon": 3}, "hroizon")])
+def test_a_wrong_table_names_its_field(raw: dict[str, object], reason: str) -> None:
+    with pytest.raises(WireError, match=reason):
+        read_storm(raw)
+
+
+def test_the_core_needs_no_storms() -> None:
+    service = Service(SETTINGS, (), 1, lambda: 0.0, lambda event, **_: None)
+    service.pool_up(False, 0.0)
+    assert service.storms is None
