Health checks pass a shut door however their bytes come; kept connections stand at it

Need: the door decides by the first bytes of a request; that a health check cut after two bytes, a CPING and the second request of a kept connection fare as they should had no test.

Change: tests on both fronts, of the administration's view and of the table.

--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -12,13 +12,16 @@
 from click.testing import CliRunner
 
 from saltcart import interface as i
+from saltcart.admin.api import Api
 from saltcart.app import App
 from saltcart.cli import cli
+from saltcart.config import ConfigError
 from saltcart.core.ports import Answer
-from saltcart.deployment import AjpFront, Deployment
+from saltcart.deployment import AjpFront, Deployment, read
 from saltcart.lab import storm as lab
 from saltcart.storm.damper import Damper
 from saltcart.storm.settings import StormSettings
+from saltcart.wire import ajp
 from tests.fakes import SETTINGS, World
 from tests.standins import AjpClient, HttpClient, Pool, running, until
 
@@ -181,6 +184,66 @@
     asyncio.run(play())
 
 
+def shut(app: App) -> Damper:
+    """No token is left at the door, and none comes."""
+    assert app.damper is not None
+    app.damper.gate.tokens, app.damper.gate.capacity = 0.0, lambda now: 0.001
+    return app.damper
+
+
+def test_health_checks_pass_a_shut_door_however_their_bytes_come() -> None:
+    async def play() -> None:
+        async with Pool() as pool, running(STORM, pool=pool.address) as app:
+            damper = shut(app)
+            reader, writer = await asyncio.open_connection(*app.addresses["http"].split(":"))
+            writer.write(b"GE")  # too little to tell by
+            await until(lambda: any(len(c.buffer) == 2 for f in app.listeners for c in f.connections))
+            writer.write(b"T /ping HTTP/1.1\r\nHost: h\r\n\r\n")
+            assert (await reader.readline()).split()[1] == b"200"
+            writer.close()
+            ping = await AjpClient(app.addresses["ajp"]).open()
+            ping.writer.write(ajp.CPING_PACKET)
+            assert isinstance(await ping.message(), ajp.Pong)
+            assert damper.gate.stopped == 0
+
+    asyncio.run(play())
+
+
+def test_each_request_of_a_kept_connection_stands_at_the_door() -> None:
+    async def play() -> None:
+        async with Pool() as pool, running(STORM, pool=pool.address) as app:
+            client = await HttpClient(app.addresses["http"]).open()
+            assert (await client.ask(1)).status == 200
+            damper = shut(app)
+            turned = await client.ask(2)
+            assert turned.status == 503 and turned.headers[b"connection"] == b"close"
+            assert damper.gate.stopped == 1 and pool.spawned == [b"%016x" % 1]
+            again = await HttpClient(app.addresses["http"]).open()
+            told = int((await again.ask(3)).headers[b"retry-after"])
+            assert abs(told - int(turned.headers[b"retry-after"])) <= 1  # its address is told the same again
+
+    asyncio.run(play())
+
+
+def test_the_administration_shows_who_repeats() -> None:
+    api = Api(World().service, None, "sixteen-characters-of-it", None, lambda: damper)  # type: ignore[arg-type]
+    w, damper = world()
+    storm_on(damper)
+    head = {b"authorization": b"Bearer sixteen-characters-of-it"}
+    api.service = w.service
+    status, body, _ = api.handle("GET", "/v1/storm", head, b"")
+    seen = json.loads(body)
+    assert status == 200 and seen["on"] == 1 and seen["amplifiers"][0]["tenant"] == "x"
+    assert api.handle("POST", "/v1/storm", head, b"")[0] == 405
+
+
+@pytest.mark.parametrize(("table", "on"), [({}, True), ({"enabled": False}, False)])
+def test_the_table_turns_it_on_and_off(table: dict[str, Any], on: bool) -> None:
+    assert (read({"storm": table}).storm is not None) == on
+    with pytest.raises(ConfigError, match=r"storm\.least"):
+        read({"storm": {**table, "least": -1}})
+
+
 def test_storms_are_seen_by_operators() -> None:
     async def play() -> None:
         async with Pool() as pool, running(STORM, pool=pool.address, control="127.0.0.1:0") as app:
