--- a/saltcart/admin/registry.py
+++ b/saltcart/admin/registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import asdict, replace
 from pathlib import Path
 from typing import Any, TypeVar
@@ -35,6 +35,7 @@
             TenantConf(t.name, t.share, t.quota) for t in service.settings.tenants)
         self.tenants = {t.name: t for t in tenants}
         self.upstreams = {u.name: u for u in deployment.upstreams}
+        self.forget: Callable[[str], None] = lambda tenant: None  # told of a tenant that is gone
         plans = deployment.plans
         self.planned = set() if plans is None else {d.upstream for d in plans.dependency}  # not to be removed
         if path is not None and path.exists():
@@ -86,6 +87,7 @@
                 self.runs.assign(tenant.name, tenant.upstream)
             for name in left:
                 self.runs.assign(name, None)
+                self.forget(name)
         self.service.set_tenants(specs(tenants))
         if self.path is not None:
             self._save(self.path)
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -130,6 +130,8 @@
         if (admin := self.deployment.admin) is not None:
             registry = Registry(self.deployment, service, self.upstreams,
                                 Path(admin.state) if admin.state else None)
+            if self.composer is not None:
+                registry.forget = self.composer.desk.last_good.forget
             api = Api(service, registry, admin.token, self.composer, lambda: self.damper)
             await self._listen("admin", Listener(
                 admin.listen, lambda owner: AdminConnection(owner, api), lambda: ADMIN_IDLE,
--- a/saltcart/budget/desk.py
+++ b/saltcart/budget/desk.py
@@ -335,8 +335,3 @@
     def _take(self) -> list[Order]:
         orders, self.orders = self.orders, []
         return orders
-
-
-def upstreams_in(plans: Plans) -> Iterable[str]:
-    """The upstreams that plans need: they can't be removed while the plans stand."""
-    return (d.upstream for d in plans.dependency if d.upstream is not None)
--- a/saltcart/lab/experiments.py
+++ b/saltcart/lab/experiments.py
@@ -22,6 +22,12 @@
     nodes: int | None = None
 
 
+def told(rows: list[list[str]], figures: dict[str, Any]) -> dict[str, Any]:
+    """Print the table; the figures come last, from the command line."""
+    print(report.table(rows))
+    return figures
+
+
 def budgets(choice: Choice) -> dict[str, Any]:
     """Nine days of failing dependencies, against fixed time-outs, none, and an oracle."""
     from saltcart.lab import budgets as experiment
@@ -55,36 +61,28 @@
     """The quantile sketch beside a plain sorted window: bytes, error, time."""
     from saltcart.lab import sketches
 
-    rows, figures = sketches.run(choice.quick, choice.seed)
-    print(report.table(rows))
-    return figures
+    return told(*sketches.run(choice.quick, choice.seed))
 
 
 def ablations(choice: Choice) -> dict[str, Any]:
     """The budgets with one part taken out, or put another way, on the same nine days."""
     from saltcart.lab import ablations as experiment
 
-    rows, figures = experiment.run(choice.quick, choice.seed)
-    print(report.table(rows))
-    return figures
+    return told(*experiment.run(choice.quick, choice.seed))
 
 
 def filters(choice: Choice) -> dict[str, Any]:
     """The filter of refused work beside a plain dict: bytes, error, time."""
     from saltcart.lab import filters as experiment
 
-    rows, figures = experiment.run(choice.quick, choice.seed)
-    print(report.table(rows))
-    return figures
+    return told(*experiment.run(choice.quick, choice.seed))
 
 
 def clock(choice: Choice) -> dict[str, Any]:
     """The model's event clock beside simpy's: events a second."""
     from saltcart.lab import clocks
 
-    rows, figures = clocks.run(choice.quick)
-    print(report.table(rows))
-    return figures
+    return told(*clocks.run(choice.quick))
 
 
 EXPERIMENTS: dict[str, Callable[[Choice], dict[str, Any]]] = {
--- a/saltcart/storm/calendar.py
+++ b/saltcart/storm/calendar.py
@@ -59,8 +59,3 @@
                 return (self.first + chosen + self.rng.random()) * BUCKET
             at += SPREAD
         return None
-
-    def promised(self, now: float) -> int:
-        """Buckets that lie ahead."""
-        self._move(now)
-        return len(self.places)
--- a/tests/test_composed.py
+++ b/tests/test_composed.py
@@ -120,6 +120,18 @@
     play(test)
 
 
+def test_what_a_tenant_was_told_is_forgotten_with_it() -> None:
+    async def test() -> None:
+        async with site() as s:
+            assert s.app.composer is not None
+            kept = s.app.composer.desk.last_good
+            kept.put(s.app.service.clock(), "acme", b"k", b"told")
+            status, _ = await admin(s.app, "DELETE", "/v1/tenants/acme")
+            assert status == 204 and kept.count == 0
+
+    play(test)
+
+
 def test_a_partial_answer_comes_before_a_budget_that_is_shorter_than_the_aim() -> None:
     async def test() -> None:
         async with site(archive=lambda asked: Act("silent")) as s:
