The test of the example ends its processes when it fails

Seen: a service started by a failed run of the test was still there 47 minutes later. Cause: the processes were killed after the assertions alone. Change: they are killed in a finally.

--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -32,20 +32,22 @@
         (tmp_path / "saltcart.toml").write_text(deployment)
         program = await start("saltcart", BALANCER_CONFIG=str(tmp_path / "config.json"),
                               SALTCART_DEPLOYMENT=str(tmp_path / "saltcart.toml"))
-        assert program.stdout is not None
-        while (line := json.loads(await program.stdout.readline())).get("front") != "http":
-            pass
-        client = await HttpClient(line["address"]).open()
-        left = list[bytes | None]()
-        for n in range(1, 4):
-            answer = await client.ask(n, "pregled-statusa", account="jadran-spedicija")
-            assert answer.status == 200 and json.loads(answer.body)["tarifa"] == {"rate": 0.045}
-            left.append(answer.headers.get(b"left-out"))
-        assert left == [None, None, b"arhiv"]
-        answer = await client.ask(4, "oddaja", b"D-7", key="k", account="jadran-spedicija")
-        assert (answer.status, answer.body) == (200, b'{"number":"LJ-1"}')
-        program.kill()
-        toys.kill()
+        try:
+            assert program.stdout is not None
+            while (line := json.loads(await program.stdout.readline())).get("front") != "http":
+                pass
+            client = await HttpClient(line["address"]).open()
+            left = list[bytes | None]()
+            for n in range(1, 4):
+                answer = await client.ask(n, "pregled-statusa", account="jadran-spedicija")
+                assert answer.status == 200 and json.loads(answer.body)["tarifa"] == {"rate": 0.045}
+                left.append(answer.headers.get(b"left-out"))
+            assert left == [None, None, b"arhiv"]
+            answer = await client.ask(4, "oddaja", b"D-7", key="k", account="jadran-spedicija")
+            assert (answer.status, answer.body) == (200, b'{"number":"LJ-1"}')
+        finally:  # a failure must not leave them behind
+            program.kill()
+            toys.kill()
         out, _ = await toys.communicate()
         assert out == b'entered {"request":"D-7","answers":{"tarifa":{"rate":0.045}}}\n'
         await program.communicate()
