One place for a run's usable time, a call's body and the cold ramp

Need: a read of the whole change found the same rule written twice and work done more than once.

A call's body was put together again for each attempt and each look at the last good answers; its part keeps it. Upstreams held two tables with the same keys. The storm model had its own copy of the cold ramp, and now asks Strength. ln 2 has a name. Dead: a global seed, a wrapper, a double assignment.

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -158,7 +158,7 @@
         service = self.service
         service.runs = self.composer = Composer(
             plans, service.settings.classes, upstreams, service, self.log, self.conf.seed, service.clock,
-            service.held, service.early)
+            service.held, service.usable)
         service.composed = frozenset(self.composer.desk.plans)
         service.figures.append(self.composer.figures)
 
--- a/saltcart/budget/desk.py
+++ b/saltcart/budget/desk.py
@@ -149,7 +149,8 @@
     def _begin_stage(self, now: float, run: Run, limits: Limits) -> None:
         calls = optional_last(run.plan.stage[run.stage].call)
         run.stage += 1
-        run.parts = [Part(run, c, limits.required if c.required else limits.optional) for c in calls]
+        run.parts = [Part(run, c, limits.required if c.required else limits.optional,
+                          compose.to_send(run, c)) for c in calls]
         run.starting = True
         for part in run.parts:
             if run.over:
@@ -221,7 +222,7 @@
         part.attempts.append(attempt)
         self.attempts[attempt.ident] = attempt
         self.orders.append(Send(attempt.ident, part.run.ident, dependency.spec.name, part.run.tenant,
-                                compose.to_send(part.run, part.call), room, part.call.write))
+                                part.body, room, part.call.write))
         if part.sent == 1:
             self._at(part.until, self._expire, part)
         if not part.call.write and not part.beside:
@@ -251,7 +252,7 @@
 
     def _answered(self, now: float, part: Part, dependency: str, body: bytes) -> None:
         if part.call.remember:
-            key = LastGood.key(part.call.dependency, compose.to_send(part.run, part.call))
+            key = LastGood.key(part.call.dependency, part.body)
             self.last_good.put(now, part.run.tenant, key, body)
         self._settle(now, part, Mark.DONE, body)
 
@@ -283,7 +284,7 @@
             return
         call = part.call
         if call.remember:
-            key = LastGood.key(call.dependency, compose.to_send(part.run, call))
+            key = LastGood.key(call.dependency, part.body)
             kept = self.last_good.get(now, part.run.tenant, key, call.remember)
             if kept is not None:
                 self._settle(now, part, Mark.REMEMBERED, kept)
--- a/saltcart/budget/run.py
+++ b/saltcart/budget/run.py
@@ -45,11 +45,12 @@
 class Part:
     """One call of the stage under way."""
 
-    __slots__ = ("attempts", "beside", "call", "dependency", "mark", "passed", "reply", "run", "sent",
+    __slots__ = ("attempts", "beside", "body", "call", "dependency", "mark", "passed", "reply", "run", "sent",
                  "until")
 
-    def __init__(self, run: Run, call: Call, until: float) -> None:
+    def __init__(self, run: Run, call: Call, until: float, body: bytes) -> None:
         self.run, self.call, self.until = run, call, until
+        self.body = body  # what every attempt sends, and what a last good answer is known by
         self.dependency = call.dependency  # or the one that it has fallen back to
         self.passed = {call.dependency}
         self.mark, self.reply, self.sent = Mark.WAITING, b"", 0
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -583,9 +583,10 @@
             counts[klass, what] += count
         return counts
 
-    def early(self) -> float:
-        """The module's sweep: it gives a run up to one before its aim, and to three before its due time."""
-        return 0.0 if self.controller is None else self.controller.sweep
+    def usable(self, aim: float, within: float) -> tuple[float, float]:
+        """How much of these a run has: the module ends it up to a sweep before its aim, three before due."""
+        sweep = 0.0 if self.controller is None else self.controller.sweep
+        return aim - sweep, within - 3 * sweep
 
     def held(self) -> int:
         """Requests that wait for a slot."""
--- a/saltcart/lab/budgets.py
+++ b/saltcart/lab/budgets.py
@@ -175,9 +175,8 @@
 
     def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float,
               aim: float) -> None:
-        now, early = self.events.now, self.service.early()
-        aim_at, due_at = now + aim - early, now + within - 3 * early
-        self.do(self.desk.start, now, ident, klass, account, body, aim_at, due_at)
+        now, (aim, within) = self.events.now, self.service.usable(aim, within)
+        self.do(self.desk.start, now, ident, klass, account, body, now + aim, now + within)
 
     def suspend(self, ident: bytes) -> None:
         self.do(self.desk.stop, self.events.now, ident)
@@ -226,7 +225,6 @@
         begun, events, tally = time.perf_counter(), self.events, self.tally
         self.service.pool_up(False, 100.0)
         host(events, self.service)
-        random.seed(0)
         stop = self.seconds / 2 if self.day.drain else float("inf")
         for n, at in enumerate(self.arrivals):
             if at < stop:
@@ -337,7 +335,7 @@
     """
     settings = read_settings(Fields(offices.SETTINGS, "settings"))
     desk, rng = Desk(office_plans(settings), seed, settings.classes), random.Random(seed)
-    replies, number, sent, open_runs = list[tuple[float, int, bytes]](), itertools.count(), 0, 0
+    replies, number, sent = list[tuple[float, int, bytes]](), itertools.count(), 0
     peaks, begun, now = list[int](), time.process_time(), 1_000.0
     kinds = rng.choices(offices.CLASSES, offices.MIX, k=1000)
     orders: list[Order] = []
@@ -356,9 +354,8 @@
         orders = []
         if n % (runs // 4) == runs // 4 - 1:
             peaks.append(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)
-    open_runs = len(desk.runs)
     took = time.process_time() - begun
-    return {"us_per_call": round(1e6 * took / sent, 1), "cost_runs": runs, "runs_left_open": open_runs,
+    return {"us_per_call": round(1e6 * took / sent, 1), "cost_runs": runs, "runs_left_open": len(desk.runs),
             "memory_growth_kb": peaks[-1] - peaks[0]}
 
 
--- a/saltcart/lab/storm.py
+++ b/saltcart/lab/storm.py
@@ -26,6 +26,7 @@
 from saltcart.core.service import Request as CoreRequest
 from saltcart.core.service import Service
 from saltcart.lab.events import Events, host
+from saltcart.storm.capacity import Strength
 from saltcart.storm.damper import Damper
 from saltcart.storm.settings import StormSettings
 
@@ -118,17 +119,16 @@
     def born(self, cold: bool) -> None:
         fleet, events = self.fleet, self.fleet.events
         self.life += 1
-        settings = replace(SETTINGS, tenants=fleet.tenants) if fleet.tenants else SETTINGS
+        settings = replace(SETTINGS, servers=fleet.day.nodes)
         if fleet.tenants:
-            settings = replace(settings, over_quota_worth=0.0)
-        settings = replace(settings, servers=len(fleet.nodes) or fleet.day.nodes)
+            settings = replace(settings, tenants=fleet.tenants, over_quota_worth=0.0)
         service = self.service = Service(settings, ("cpu_busy", "runnable"), self.rng.getrandbits(60),
                                          events.clock, lambda event, **_: None, 100_000)
         service.runs = Runs(self, service)
         decide = service.actions[i.TurnAway]
         service.actions[i.TurnAway] = lambda action: self._turned_away(service, action, decide)
-        self.cold, self.started = cold, events.now
         service.pool_up(cold, 0.0 if cold else 100.0)
+        self.strength = Strength(service.settings, events.now)
         self.damper: Damper | None = None
         self.tokens, self.tokens_at = 0.0, events.now
         if fleet.policy == "storm":
@@ -147,11 +147,8 @@
     def _look_back(self, request: CoreRequest) -> None:
         self.fleet.seen.held_back += request.reply is not None
 
-    def strength(self) -> float:
-        age = self.fleet.events.now - self.started
-        if not self.cold or age >= SETTINGS.cold_span:
-            return 1.0
-        return SETTINGS.cold_from + (1 - SETTINGS.cold_from) * age / SETTINGS.cold_span
+    def speed(self) -> float:
+        return self.strength.at(self.fleet.events.now)
 
     def die(self) -> None:
         """All that it had is lost; its clients see their connections break."""
@@ -186,14 +183,14 @@
             self.unread.append(UNREAD_ONE)
             fleet.answered(request, self, Answer(Verdict.REFUSED, come_back=back.after), marks=False)
         elif fleet.policy == "bucket" and not self._token(now):
-            fleet.refused_at_the_door(request, self)
+            fleet.answered(request, self, Answer(Verdict.REFUSED))
         else:
             fleet.open.setdefault(self.number, {})[request.number] = request
             self.unread.append(request)
         self.work()
 
     def _token(self, now: float) -> bool:
-        rate = CORES / (WORK * (1 + READING)) * self.strength()
+        rate = CORES / (WORK * (1 + READING)) * self.speed()
         self.tokens = min(rate, self.tokens + (now - self.tokens_at) * rate)
         self.tokens_at = now
         if self.tokens < 1:
@@ -210,13 +207,13 @@
             if self.unread and (self.turn or not self.ready):
                 request = self.unread.popleft()
                 cost = UNREAD * WORK if request is UNREAD_ONE else READING * request.work
-                events.at(events.now + cost / self.strength(), self._read, self.power, request)
+                events.at(events.now + cost / self.speed(), self._read, self.power, request)
             else:
                 service, ident = self.ready.popleft()
                 if ident not in service.by_ident:  # stopped while it waited for a core
                     self.busy -= 1
                     continue
-                took = self.fleet.requests[int(ident, 16) >> 12].work / self.strength()
+                took = self.fleet.requests[int(ident, 16) >> 12].work / self.speed()
                 events.at(events.now + took, self._ran, self.power, service, ident, took)
 
     def _free(self, power: int) -> bool:
@@ -377,9 +374,6 @@
         keyed = CLASSES[request.klass].effect is i.Effect.KEYED
         self.later(request, self.rng.uniform(*HURRY), request.at if keyed else self.next(request))
 
-    def refused_at_the_door(self, request: Request, node: Node) -> None:
-        self.answered(request, node, Answer(Verdict.REFUSED))
-
     def answered(self, request: Request, node: Node, answer: Answer, ident: bytes = b"",
                  marks: bool = True) -> None:
         if request.done or request.at != node.number or (ident and ident != request.ident):
--- a/saltcart/net/composer.py
+++ b/saltcart/net/composer.py
@@ -34,8 +34,9 @@
 
     def __init__(self, plans: Plans, classes: Iterable[ClassSpec], upstreams: Upstreams, events: RunEvents,
                  log: Log, seed: int, clock: Callable[[], float],
-                 held: Callable[[], int], early: Callable[[], float]) -> None:
-        self.desk, self.held, self.early = Desk(plans, seed, classes), held, early
+                 held: Callable[[], int],
+                 usable: Callable[[float, float], tuple[float, float]]) -> None:
+        self.desk, self.held, self.usable = Desk(plans, seed, classes), held, usable
         self.upstreams, self.events, self.log, self.clock = upstreams, events, log, clock
         self.specs = {d.name: d for d in plans.dependency}
         self.lines = {d.name: IndexLines(d, self._told, log) for d in plans.dependency if d.kind == "index"}
@@ -54,9 +55,8 @@
         if klass not in self.desk.plans:
             self.upstreams.spawn(ident, klass, account, body, once, within, aim)
         elif ident not in self.desk.runs:
-            now, early = self._time(), self.early()
-            aim_at, due_at = now + aim - early, now + within - 3 * early
-            self._carry_out(self.desk.start(now, ident, klass, account, body, aim_at, due_at))
+            now, (aim, within) = self._time(), self.usable(aim, within)
+            self._carry_out(self.desk.start(now, ident, klass, account, body, now + aim, now + within))
 
     def suspend(self, ident: bytes) -> None:
         if ident in self.desk.runs:
--- a/saltcart/net/upstreams.py
+++ b/saltcart/net/upstreams.py
@@ -21,8 +21,7 @@
         self.by_name: dict[str, AjpUpstream] = {}
         self.by_tenant: dict[str, str] = {}
         self.where: dict[bytes, AjpUpstream] = {}  # runs under way
-        self.asked: dict[bytes, Told] = {}  # calls of composed runs
-        self.calls: dict[bytes, AjpUpstream] = {}
+        self.asked: dict[bytes, tuple[AjpUpstream, Told]] = {}  # calls of composed runs
         for conf in deployment.upstreams:
             self.put(conf)
         for tenant in deployment.tenants:
@@ -72,16 +71,14 @@
         upstream = self.by_name.get(name)
         if upstream is None:
             return False
-        self.asked[ident], self.calls[ident] = told, upstream
+        self.asked[ident] = upstream, told
         upstream.spawn(ident, what, account, body, True, within)
         return True
 
     def give_up(self, ident: bytes) -> None:
         """Nobody waits for this call any more, and nobody is told how it ends."""
-        upstream = self.calls.pop(ident, None)
-        self.asked.pop(ident, None)
-        if upstream is not None:
-            upstream.suspend(ident)
+        if (asked := self.asked.pop(ident, None)) is not None:
+            asked[0].suspend(ident)
 
     def suspend(self, ident: bytes) -> None:
         if (upstream := self.where.get(ident)) is not None:
@@ -101,8 +98,7 @@
         self.events.gauges((min(1.0, busy / self.slots), float(busy)))
 
     def _ended(self, ident: bytes, outcome: Outcome, took: float, result: bytes) -> None:
-        if (told := self.asked.pop(ident, None)) is not None:
-            del self.calls[ident]
-            told(ident, outcome, result)
+        if (asked := self.asked.pop(ident, None)) is not None:
+            asked[1](ident, outcome, result)
         elif self.where.pop(ident, None) is not None:
             self.events.run_ended(ident, outcome, took, result)
--- a/saltcart/storm/sources.py
+++ b/saltcart/storm/sources.py
@@ -8,6 +8,8 @@
 
 from collections import OrderedDict
 
+from saltcart.storm.weather import LN2
+
 HALF_LIFE = 3.0  # seconds
 GONE = 12.0  # seconds without an offer after which a source is no longer counted
 ROOM = 2048  # sources that are known; beyond them the one that has been away longest is forgotten
@@ -34,4 +36,4 @@
 
     def part(self, rate: float) -> float:
         """An equal part of ``rate`` a second, as a faded count."""
-        return max(FEW, rate * HALF_LIFE / 0.6931471805599453 / max(1, len(self.offers)))
+        return max(FEW, rate * HALF_LIFE / LN2 / max(1, len(self.offers)))
--- a/saltcart/storm/weather.py
+++ b/saltcart/storm/weather.py
@@ -6,6 +6,10 @@
 from __future__ import annotations
 
 import enum
+from math import log
+
+
+LN2 = log(2)  # of a faded count: what it stands for is its half-life over this
 
 
 class Sky(enum.Enum):
@@ -33,7 +37,7 @@
     def per_second(self, now: float) -> float:
         """The sum of faded weights over the time that they stand for."""
         self._fade(now)
-        return self.level * 0.6931471805599453 / self.half_life
+        return self.level * LN2 / self.half_life
 
 
 class Weather:
@@ -76,7 +80,7 @@
         offered, came = self.offers.per_second(now), self.came.per_second(now)
         share = self.share(now)
         repeated = share >= self.BEGIN and self.again.level >= self.LEAST
-        usual = capacity * self.HALF_LIFE / 0.6931471805599453  # offers that the capacity stands for, faded
+        usual = capacity * self.HALF_LIFE / LN2  # offers that the capacity stands for, faded
         flooded = (offered >= self.FLOOD * capacity and came > 0
                    and self.offers.level - usual >= self.SURE * max(1.0, usual) ** 0.5
                    and self.refusals.per_second(now) >= self.REFUSED * came)
