Storms on sockets: four killed programs; the door no longer starves what it does not know

Three faults, none visible in the model, each traced by putting one back at a time: - Throughput took the wall time of runs for work: eight runs on two workers of an upstream made the capacity look a quarter of what it is, and a door of that width never let more be seen. A run's time is now divided by how many ran with it over the cores (Little's law). - Damper.admits put a source last because some caller behind its address had been told a later moment. Behind a balancer there are many callers. Callers that come early are still known by their fingerprints; the address counts only by its crowd, and not at all if it is alone. - Sources over their part had half of the capacity even where nobody else wanted it. That share now grows while runs end and nobody waits. Also: the door's width follows what reading costs (a fifth of the cores at most), for where it is cheap the module chooses better among more requests.

--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -322,7 +322,7 @@
                 self.keys.never_ran(r.number)
                 self._fail_joined(entry)
         if self.storms is not None and outcome is i.Outcome.OK:
-            self.storms.run_ended(self.now, took, self.held() > 0)
+            self.storms.run_ended(self.now, took, self.held() > 0, self.load().on_core)
             if r.tried is not None:
                 self.storms.served(self.now, r.tried.mark, r.tried.again)
         r.state = State.HELD  # nothing of it is left in the pool
--- a/saltcart/lab/experiments.py
+++ b/saltcart/lab/experiments.py
@@ -49,8 +49,12 @@
 def storm(choice: Choice) -> dict[str, Any]:
     """A room of a third of the nodes goes and comes back cold, while clients repeat without limit."""
     from saltcart.lab import storm as experiment
+    from saltcart.lab import storm_sockets
 
-    rows, figures, worth = experiment.run(choice.quick, choice.seed, choice.nodes)
+    if choice.sockets:
+        rows, figures, worth = storm_sockets.run(choice.seed)
+    else:
+        rows, figures, worth = experiment.run(choice.quick, choice.seed, choice.nodes)
     print(report.table(rows))
     if choice.plot is not None:
         report.plot_lines(choice.plot, worth, "share of worth kept")
--- a/saltcart/lab/sockets.py
+++ b/saltcart/lab/sockets.py
@@ -7,46 +7,18 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import os
-import sys
-import tempfile
 import time
+from contextlib import AsyncExitStack
 from pathlib import Path
 
-import tomli_w
-
 from saltcart.lab import offices
 from saltcart.lab.budgets import Play
 from saltcart.lab.dependency import ModelDependency
+from saltcart.lab.faults.programs import Program, call, fleet
 from saltcart.lab.standins import AjpStandIn, IndexStandIn, Model, StandIn
-from saltcart.net.base import Connection, address
-from saltcart.wire import http1
 
 SECONDS, SOCKET_RATE = 16.0, 40.0
 SLOW = 1  # the number of the ninefold day
-START_WAIT = 30.0  # seconds for the program to say where it listens
-
-
-class Caller(Connection):
-    """Sends one request and keeps its answer."""
-
-    def __init__(self, data: bytes) -> None:
-        super().__init__()
-        self.data, self.parser = data, http1.ResponseParser(1 << 16)
-        self.answer: asyncio.Future[http1.Response] = asyncio.get_running_loop().create_future()
-
-    def opened(self) -> None:
-        self.send(self.data)
-
-    def received(self) -> None:
-        response = self.parser.next(self.buffer)
-        if response is not None and not self.answer.done():
-            self.answer.set_result(response)
-
-    def closed(self) -> None:
-        if not self.answer.done():
-            self.answer.set_exception(ConnectionResetError("closed without an answer"))
 
 
 def request(n: int, klass: str, rank: float, deadline: float) -> bytes:
@@ -72,43 +44,22 @@
     stand_ins: dict[str, StandIn] = {
         name: (IndexStandIn if name in offices.INDEX else AjpStandIn)(Model(place, loop.time))
         for name, place in places.items()}
-    with tempfile.TemporaryDirectory() as folder:
+    def make(number: int, folder: Path) -> Program:
+        config = {"listen": "127.0.0.1:0", "seed": f"{seed:x}", "settings": offices.SETTINGS}
+        return Program("lab", folder, config, offices.tables({n: s.address for n, s in stand_ins.items()}))
+
+    async with AsyncExitStack() as stack:
         for stand_in in stand_ins.values():
-            await stand_in.__aenter__()
-        try:
-            config, deployment = Path(folder, "config.json"), Path(folder, "saltcart.toml")
-            deployment.write_text(tomli_w.dumps(offices.tables({n: s.address for n, s in stand_ins.items()})))
-            config.write_text(json.dumps({"name": "lab", "listen": "127.0.0.1:0", "seed": f"{seed:x}",
-                                          "settings": offices.SETTINGS}))
-            environment = {**os.environ, "BALANCER_CONFIG": str(config),
-                           "SALTCART_DEPLOYMENT": str(deployment)}
-            program = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "saltcart", env=environment, stdout=asyncio.subprocess.PIPE)
-            try:
-                at = await listening(program)
-                earned, statuses = await call_all(model, places, at)
-            finally:
-                program.kill()
-                await program.communicate()
-        finally:
-            for stand_in in stand_ins.values():
-                await stand_in.__aexit__()
+            await stack.enter_async_context(stand_in)
+        (program,) = await stack.enter_async_context(fleet(1, make))
+        await program.start()
+        earned, statuses = await call_all(model, places, program.addresses["http"])
     tally = model.run()
     return {"sockets": earned / tally.offered, "model": tally.earned / tally.offered,
             "requests": len(model.arrivals), "unanswered": statuses.count(0),
             "writes_twice": sum(tries > 1 for tries in places["knjiga"].tries.values())}
 
 
-async def listening(program: asyncio.subprocess.Process) -> str:
-    assert program.stdout is not None
-    async with asyncio.timeout(START_WAIT):
-        while line := await program.stdout.readline():
-            told = json.loads(line)
-            if told["event"] == "listening":
-                return str(told["address"])
-    raise RuntimeError("the program ended before it listened")
-
-
 async def call_all(model: Play, places: dict[str, ModelDependency], at: str) -> tuple[float, list[int]]:
     loop = asyncio.get_running_loop()
     begun = loop.time() + 0.2
@@ -120,9 +71,7 @@
         await asyncio.sleep(begun + model.arrivals[n] - loop.time())
         sent = loop.time()
         try:
-            _, caller = await loop.create_connection(
-                lambda: Caller(request(n, spec.name, model.ranks[n], spec.deadline)), *address(at))
-            answer = await asyncio.wait_for(caller.answer, spec.deadline + 1)
+            answer = await call(at, request(n, spec.name, model.ranks[n], spec.deadline), spec.deadline + 1)
         except (OSError, TimeoutError):
             return 0.0, 0
         if answer.status != 200 or loop.time() - sent > spec.aim:
--- a/saltcart/lab/storm.py
+++ b/saltcart/lab/storm.py
@@ -453,10 +453,10 @@
                     self.seen.storm_seconds += node.damper is not None and node.damper.storm(self.events.now)
 
 
-def recovered(worth: list[float]) -> float | None:
+def recovered(worth: list[float], out_at: float = OUT_AT, out_for: float = OUT_FOR) -> float | None:
     """Seconds from the return until nine tenths of the normal worth are kept again; None if never."""
-    normal = sum(worth[1:int(OUT_AT) - 2]) / (int(OUT_AT) - 3)
-    begin, span = int(OUT_AT + OUT_FOR), int(STEADY)
+    normal = sum(worth[1:int(out_at) - 2]) / (int(out_at) - 3)
+    begin, span = int(out_at + out_for), int(STEADY)
     for at in range(begin, len(worth) - span + 1):
         if sum(worth[at:at + span]) / span >= RECOVERED * normal:
             return float(at - begin)
--- /dev/null
+++ b/saltcart/lab/storm_sockets.py
@@ -0,0 +1,218 @@
+"""A storm on sockets: four real programs, killed and restarted cold, under clients that repeat without limit.
+
+Half of the fleet is killed for ``OUT_FOR`` seconds and comes back cold; later the other two are killed and
+restarted at once, one after the other.  Each program's work is done by an AJP stand-in of its own, which is
+as cold as its program.  The play is in real time and so not the same to the last try every time; the draws of
+requests, works and clients are.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import random
+import time
+from collections import Counter
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from saltcart.interface import Effect
+from saltcart.lab.faults.programs import Program, call, fleet, settings, start_all
+from saltcart.lab.standins import Act, AjpStandIn, Asked
+from saltcart.lab.storm import CLASSES, HURRY, KEYED, recovered
+
+NODES, CORES, WORK, LOAD = 4, 2, 0.08, 0.65
+OUT_AT, OUT_FOR, OUT = 8.0, 8.0, (0, 1)  # seconds, and which nodes
+CRASHES = ((26.0, 2), (30.0, 3))  # killed and restarted at once
+SECONDS, TAIL = 40.0, 5.0  # of new work, and for the last of it to end
+COLD_FROM, COLD_SPAN = 0.3, 6.0
+SLACK = 0.3  # seconds past its due time from which an answer is late, on a machine that does other work
+CONNECT = 0.05  # seconds that a refused connection costs a client
+
+
+@dataclass
+class Works:
+    """What does one node's work: first come first served on its cores, slow while cold."""
+
+    works: list[float]
+    born: float = 0.0
+    life: int = 0
+    cores: list[float] = field(default_factory=lambda: [0.0] * CORES)
+    ran: Counter[tuple[int, int]] = field(default_factory=Counter)  # keyed runs by life and request
+    began: dict[tuple[int, int], float] = field(default_factory=dict)
+    twice: int = 0
+
+    def renew(self, cold: bool) -> None:
+        self.life += 1
+        self.born, self.cores = time.time() - (0.0 if cold else COLD_SPAN), [0.0] * CORES
+
+    def __call__(self, asked: Asked) -> Act:
+        number, now = int(orjson.loads(asked.body)["n"]), time.time()
+        key = self.life, number
+        window = CLASSES[1].window
+        if number >= 0:  # a keyed one: not again within the window of the run before
+            self.twice += key in self.began and now - self.began[key] <= window
+            self.began[key] = now
+        speed = min(1.0, COLD_FROM + (1 - COLD_FROM) * (now - self.born) / COLD_SPAN)
+        begin = max(now, self.cores[0])
+        took = self.works[abs(number)] / speed
+        heapq.heapreplace(self.cores, begin + took)
+        return Act("ok", begin + took - now)
+
+
+@dataclass
+class Seen:
+    offered: Counter[int] = field(default_factory=Counter)
+    earned: Counter[int] = field(default_factory=Counter)
+    tries: int = 0
+    late: int = 0
+    unanswered: int = 0
+    told: int = 0
+
+
+class Play:
+    """One policy's play: ``storm`` or ``off``."""
+
+    def __init__(self, policy: str, seed: int) -> None:
+        self.policy, self.rng = policy, random.Random(seed)
+        rate = LOAD * CORES * NODES / WORK
+        self.births, at = list[float](), 0.0
+        while (at := at + self.rng.expovariate(rate)) < SECONDS:
+            self.births.append(at)
+        self.works = [self.rng.gammavariate(4.0, WORK / 4) for _ in self.births]
+        self.kinds = [int(self.rng.random() < KEYED) for _ in self.births]
+        self.obeys = [self.rng.random() < 0.5 for _ in self.births]
+        self.orders = [self.rng.sample(range(NODES), NODES) for _ in self.births]
+        self.places = [Works(self.works) for _ in range(NODES)]
+        self.seen = Seen()
+        self.serial = 0
+
+    def make(self, stand_ins: list[AjpStandIn]) -> Any:
+        classes = [{"name": c.name, "effect": "read_like" if c.effect is Effect.SAFE else "idempotency_key",
+                    "onTime": c.aim, "deadline": c.deadline, "worth": c.worth, "memorySpan": c.window}
+                   for c in CLASSES]
+
+        def make(number: int, folder: Path) -> Program:
+            deployment: dict[str, Any] = {
+                "upstream": [{"name": "work", "members": [{"host": stand_ins[number].address}]}]}
+            if self.policy == "storm":
+                deployment["storm"] = {"reading": 0.05}
+            config = {"listen": "127.0.0.1:0", "seed": f"{number + 1:x}", "limits": {"sockets": 512},
+                      "settings": settings(classes, CORES)}
+            return Program(f"n{number}", folder, config, deployment)
+
+        return make
+
+    def request(self, n: int) -> bytes:
+        """Another try of a piece of work: nothing marks it as one."""
+        spec, self.serial = CLASSES[self.kinds[n]], self.serial + 1
+        body = b'{"n":%d}' % (n if self.kinds[n] else -n)
+        head = (f"POST /call/{spec.name} HTTP/1.1\r\nHost: lab\r\nRequest-Id: {self.serial:016x}\r\n"
+                f"Received-At: {time.time() * 1000:.0f}\r\nBudget-Ms: {spec.deadline * 1000:.0f}\r\n"
+                f"Footprint-Kb: 10\r\nPriority-Rank: {n % 97 / 97:.4f}\r\nContent-Length: {len(body)}\r\n")
+        if self.kinds[n]:
+            head += f"Once-Key: k{n}\r\n"
+        return head.encode() + b"Connection: close\r\n\r\n" + body
+
+    async def client(self, n: int, programs: list[Program], begun: float) -> None:
+        """One piece of work, tried without limit until it is served or the play is over."""
+        loop, spec, rng = asyncio.get_running_loop(), CLASSES[self.kinds[n]], random.Random(n)
+        await asyncio.sleep(begun + self.births[n] - loop.time())
+        second, at = int(self.births[n]), 0
+        self.seen.offered[second] += int(spec.worth)
+        while loop.time() - begun < SECONDS + TAIL:
+            node, sent = self.orders[n][at % NODES], loop.time()
+            self.seen.tries += 1
+            wait, follow = rng.uniform(*HURRY), at + 1
+            try:
+                answer = await call(programs[node].addresses["http"], self.request(n), spec.deadline + 0.5)
+            except ConnectionRefusedError:
+                wait = CONNECT
+            except TimeoutError:
+                self.seen.unanswered += programs[node].well(time.time(), spec.deadline + 0.5)
+                follow = at if self.kinds[n] else at + 1
+            except OSError:  # cut: a keyed one may have run there
+                follow = at if self.kinds[n] else at + 1
+            else:
+                self.seen.late += loop.time() - sent > spec.deadline + SLACK
+                if answer.status == 200:
+                    if loop.time() - begun - self.births[n] <= spec.aim:
+                        self.seen.earned[second] += int(spec.worth)
+                    return
+                if answer.status == 500 and self.kinds[n]:
+                    follow = at
+                back = int(answer.headers.get(b"retry-after", b"0"))
+                if back:
+                    self.seen.told += 1
+                    if self.obeys[n]:
+                        wait, follow = back + rng.uniform(0.0, 0.05), at
+            at = follow
+            await asyncio.sleep(wait)
+
+    async def faults(self, programs: list[Program], begun: float) -> None:
+        loop = asyncio.get_running_loop()
+
+        async def until(at: float) -> None:
+            await asyncio.sleep(max(0.0, begun + at - loop.time()))
+
+        await until(OUT_AT)
+        for n in OUT:
+            programs[n].kill()
+        await until(OUT_AT + OUT_FOR - 0.5)  # about what a start takes
+        await asyncio.gather(*(self.revive(programs[n], self.places[n]) for n in OUT))
+        for at, n in CRASHES:
+            await until(at)
+            programs[n].kill()
+            await self.revive(programs[n], self.places[n])
+
+    async def revive(self, program: Program, place: Works) -> None:
+        await program.ended()
+        place.renew(cold=True)
+        await program.start()
+
+    async def run(self) -> dict[str, Any]:
+        async with AsyncExitStack() as stack:
+            stand_ins = [await stack.enter_async_context(AjpStandIn(place)) for place in self.places]
+            programs = await stack.enter_async_context(fleet(NODES, self.make(stand_ins)))
+            await start_all(programs)
+            for place in self.places:
+                place.renew(cold=False)
+            begun = asyncio.get_running_loop().time() + 0.5
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.faults(programs, begun))
+                for n in range(len(self.births)):
+                    group.create_task(self.client(n, programs, begun))
+            lives = sum(len(p.lives) for p in programs)
+        worth = [self.seen.earned[s] / max(1, self.seen.offered[s]) for s in range(int(SECONDS) - 4)]
+        return {"worth": worth, "recover_s": recovered(worth, OUT_AT, OUT_FOR), "lives": lives,
+                "amplification": round(self.seen.tries / len(self.births), 2),
+                "oddaja_twice": sum(p.twice for p in self.places), "late": self.seen.late,
+                "unanswered": self.seen.unanswered, "told": self.seen.told}
+
+
+def play(job: tuple[str, int]) -> dict[str, Any]:
+    return asyncio.run(Play(*job).run())
+
+
+def run(seed: int) -> tuple[list[list[str]], dict[str, Any], dict[str, Any]]:
+    """The table, the figures, and the worth by second, with the damping and without."""
+    from concurrent.futures import ProcessPoolExecutor
+
+    with ProcessPoolExecutor(2) as pool:
+        seen = dict(zip(("storm", "off"), pool.map(play, [("storm", seed), ("off", seed)])))
+    rows = [["policy", "recovered s", "kept out", "kept after", "tries", "told", "twice", "late",
+             "unanswered"]]
+    for policy, s in seen.items():
+        out, back = int(OUT_AT), int(OUT_AT + OUT_FOR)
+        kept = [sum(part) / len(part) for part in (s["worth"][out:back], s["worth"][back:])]
+        rows.append([policy, "-" if s["recover_s"] is None else f"{s['recover_s']:.0f}",
+                     *(f"{k:.3f}" for k in kept), f"{s['amplification']:.2f}",
+                     *(str(s[k]) for k in ("told", "oddaja_twice", "late", "unanswered"))])
+    figures = {k: seen["storm"][k] for k in
+               ("recover_s", "amplification", "oddaja_twice", "late", "unanswered", "lives")}
+    figures |= {f"{k}_off": seen["off"][k] for k in ("recover_s", "amplification", "oddaja_twice")}
+    return rows, figures | {"seed": seed}, {"room": {p: s["worth"] for p, s in seen.items()}}
--- a/saltcart/storm/capacity.py
+++ b/saltcart/storm/capacity.py
@@ -24,6 +24,9 @@
 
     Until enough has ended it is guessed from the cores and the time that runs take.  ``reading``: what
     reading a request costs, as a share of its work.
+
+    Runs that share the cores, or wait their turn at an upstream, take longer than their work: as much
+    longer as there are more of them than cores (Little, 1961).
     """
 
     HALF_LIFE, LEAST = 4.0, 8.0
@@ -43,10 +46,10 @@
             self.ended, self.seconds = self.ended * fade, self.seconds * fade
         self.at = now
 
-    def run_ended(self, now: float, took: float, full: bool) -> None:
-        """A run is over; ``full``: others waited for its place."""
+    def run_ended(self, now: float, took: float, full: bool, running: int = 1) -> None:
+        """A run is over; ``full``: others waited for its place.  ``running``: how many there were with it."""
         self._move(now)
-        self.took = 0.95 * self.took + took * self.strength.at(now)
+        self.took = 0.95 * self.took + took * self.strength.at(now) / max(1.0, running / self.cores)
         self.runs = 0.95 * self.runs + 1
         if full:
             self.ended += 1
--- a/saltcart/storm/damper.py
+++ b/saltcart/storm/damper.py
@@ -60,7 +60,7 @@
         strength = Strength(settings, started)
         self.throughput = Throughput(strength, settings.cores, conf.reading)
         self.calendar = Calendar(self.rng, conf.horizon, self._room)
-        self.gate = Gate(conf.over, self.capacity, self.storm)
+        self.gate = Gate(conf.over, conf.reading, self.capacity, self.storm)
         self.sources = Sources()
         self.gated = False  # tries are counted at the door
         self.now, self.kept, self.early, self.again = now, 0, 0, 0
@@ -83,11 +83,9 @@
         self.weather.offered(now)
         count = self.sources.offered(now, source)
         part = self.sources.part(self.conf.over * self.capacity(now))
-        moment = self.appointments.get(source)
-        hurried = moment is not None and now < moment - EARLY
-        # A source with much work has many moments at once: it is held to its part, not to one of them.
-        last = count > CROWD * part or (hurried and count > part)
         alone = len(self.sources.offers) < 2  # nobody else's place could be taken
+        # How early a source comes tells nothing here: behind one address there may be many callers.
+        last = not alone and count > CROWD * part
         if not self.gate.admits(now, last, 0.0 if alone else weight(count, CROWD * part)):
             return Entry.STOP
         return Entry.LAST if last else Entry.GO
@@ -136,8 +134,9 @@
         if again:
             self.appointments.remove(mark)
 
-    def run_ended(self, now: float, took: float, full: bool) -> None:
-        self.throughput.run_ended(now, took, full)
+    def run_ended(self, now: float, took: float, full: bool, running: int) -> None:
+        self.throughput.run_ended(now, took, full, running)
+        self.gate.run_ended(full)
 
     def unread(self, now: float, source: int) -> Return:
         """A connection that was not read: its source is given a moment, the same until then."""
--- a/tests/test_storm_parts.py
+++ b/tests/test_storm_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from collections import Counter
 
 import pytest
@@ -203,14 +204,14 @@
 
 def test_the_gate_lets_in_what_can_be_run_and_leaves_the_rest_unread() -> None:
     for storm in (False, True):
-        gate = Gate(0.9, lambda now: 20.0, lambda now, storm=storm: storm)  # type: ignore[misc]
+        gate = Gate(0.9, 0.25, lambda now: 20.0, lambda now, storm=storm: storm)  # type: ignore[misc]
         passed = sum(gate.admits(n * 0.01) for n in range(1000))  # 100 a second for 10 s
         assert passed <= 20 * 10 + 20 + FEWEST and passed >= 0.9 * 20 * 10 - 1
         assert gate.passed == passed and gate.passed + gate.stopped == 1000
 
 
 def test_who_comes_last_has_only_what_others_leave() -> None:
-    gate = Gate(1.0, lambda now: 20.0, lambda now: True)
+    gate = Gate(1.0, 0.25, lambda now: 20.0, lambda now: True)
     passed = Counter[bool]()
     for n in range(4000):
         last = n % 5 != 0  # 16 of the others a second, and 64 that come last
@@ -276,7 +277,7 @@
 
 def test_the_last_tokens_are_left_to_sources_that_come_seldom() -> None:
     """A flood's first second: nobody is known for a crowd yet, and a quiet source must still find a place."""
-    d = damper()
+    d = damper(reading=0.25)
     d.throughput.run_ended(100.0, 1.0, False)  # 4 a second
     loud, seen = d.source("loud"), Counter[Entry]()
     d.admits(97.0, d.source("another"))  # so the crowd is not alone here
@@ -287,12 +288,45 @@
 
 
 def test_a_source_alone_takes_all_tokens() -> None:
-    d = damper()
+    d = damper(reading=0.25)
     d.throughput.run_ended(100.0, 1.0, False)
     let_in = sum(d.admits(100.0 + n * 0.01, d.source("balancer")) is not Entry.STOP for n in range(8))
     assert let_in == FEWEST
 
 
+def test_runs_that_share_the_cores_do_not_make_the_capacity_look_smaller() -> None:
+    """Eight runs on two cores take four times as long as their work: 20 a second all the same."""
+    rates = []
+    for running in (2, 8):
+        throughput = Throughput(Strength(replace(SETTINGS, cold=False), 0.0), 2, 0.0)
+        for n in range(100):
+            throughput.run_ended(n * 0.05, 0.1 * running / 2, False, running)
+        rates.append(throughput.warm_rate(5.0))
+    assert rates == pytest.approx([20.0, 20.0])
+
+
+def test_where_reading_is_cheap_the_module_chooses_among_more_than_can_run() -> None:
+    passed = []
+    for reading in (0.25, 0.05):
+        gate = Gate(0.9, reading, lambda now: 20.0, lambda now: True)
+        passed.append(sum(gate.admits(n * 0.005) for n in range(2000)))  # 200 a second for 10 s
+    assert passed[0] <= 0.9 * 200 + 20 and passed[1] >= 3.5 * 200
+
+
+def test_a_crowd_may_have_what_nobody_waits_for() -> None:
+    """A source that is over its part is held back for the others' sake, not for its own."""
+    rates = []
+    for full in (True, False):
+        gate = Gate(1.0, 0.25, lambda now: 20.0, lambda now: False)
+        passed = 0
+        for n in range(4000):  # 40 a second for 100 s
+            passed += gate.admits(n * 0.025, last=True)
+            if n % 2 == 0:
+                gate.run_ended(full)
+        rates.append(passed / 100)
+    assert rates[0] == pytest.approx(10.0, abs=0.5) and rates[1] > 18.0
+
+
 def test_the_most_tries_of_one_piece_of_work_are_told() -> None:
     d = damper()
     for n in range(7):
