Membership: the processes keep a view of the fleet, with a rig that kills and cuts them

Need: the operators' wish that the program's many processes know of each other by themselves, and that their views settle after crashes, pauses and partitions.

It decides and keeps state alone; net/gossip.py drives it on one UDP socket. Two rules are ours: nobody declares dead whom it has not failed to reach itself, and in a comparison another's word that one is dead makes a suspect of it. [member] in the deployment file turns it on; without the table it is not even loaded. GET /v1/members and vars show the view. lab/faults starts real processes whose datagrams go through a relay with a rule for each direction of each pair.

--- a/saltcart/admin/api.py
+++ b/saltcart/admin/api.py
@@ -9,6 +9,7 @@
     GET, PUT, DELETE /v1/upstreams/N        show, replace, remove
     GET /v1/dependencies                    what composed runs know of theirs
     GET /v1/storm                           retries, who amplifies, what callers are told
+    GET /v1/members                         the fleet as this process sees it
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
 
 if TYPE_CHECKING:
     from saltcart.net.composer import Composer
+    from saltcart.net.gossip import Gossip
     from saltcart.storm.damper import Damper
 
 Reply = tuple[int, Any]
@@ -44,12 +46,13 @@
 class Api:
     def __init__(self, service: Service, registry: Registry, token: str,
                  composer: Composer | None = None,
-                 damper: Callable[[], Damper | None] = lambda: None) -> None:
+                 damper: Callable[[], Damper | None] = lambda: None, gossip: Gossip | None = None) -> None:
         self.service, self.registry, self.token = service, registry, token.encode()
-        self.composer, self.damper = composer, damper
+        self.composer, self.damper, self.gossip = composer, damper, gossip
         self.routes: dict[str, dict[str, Callable[..., Reply]]] = {
             "state": {"GET": self.state}, "counts": {"GET": self.counts},
             "dependencies": {"GET": self.dependencies}, "storm": {"GET": self.storm},
+            "members": {"GET": self.members},
             "shares": {"GET": self.shares, "PUT": self.put_shares},
             "tenants": {"GET": self.tenants, "POST": self.post_tenant},
             "upstreams": {"GET": self.upstreams, "POST": self.post_upstream},
@@ -119,6 +122,9 @@
         damper = self.damper()
         return 200, {} if damper is None else damper.state(self.service.clock())
 
+    def members(self) -> Reply:
+        return 200, {} if self.gossip is None else self.gossip.state()
+
     # ---- tenants and shares -------------------------------------------------------------------
 
     def _tenant(self, name: str) -> dict[str, Any]:
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -32,7 +32,9 @@
 
 if TYPE_CHECKING:
     from saltcart.budget.plan import Plans
+    from saltcart.member.settings import MemberSettings
     from saltcart.net.composer import Composer
+    from saltcart.net.gossip import Gossip
     from saltcart.storm.damper import Damper
     from saltcart.storm.settings import StormSettings
 
@@ -84,6 +86,7 @@
         self.upstreams: Upstreams | None = None
         self.composer: Composer | None = None
         self.damper: Damper | None = None
+        self.gossip: Gossip | None = None
         self.runs: Runs | None = None  # set before the start: in the place of a pool or upstreams
         self.ticker: Ticker | None = None
 
@@ -127,12 +130,14 @@
             await self._listen("control", Listener(
                 conf.control, lambda owner: ControlConnection(owner, service, self.ready),
                 lambda: ADMIN_IDLE, CONTROL_CONNECTIONS))
+        if self.deployment.member is not None:
+            await self._join(self.deployment.member)
         if (admin := self.deployment.admin) is not None:
             registry = Registry(self.deployment, service, self.upstreams,
                                 Path(admin.state) if admin.state else None)
             if self.composer is not None:
                 registry.forget = self.composer.desk.last_good.forget
-            api = Api(service, registry, admin.token, self.composer, lambda: self.damper)
+            api = Api(service, registry, admin.token, self.composer, lambda: self.damper, self.gossip)
             await self._listen("admin", Listener(
                 admin.listen, lambda owner: AdminConnection(owner, api), lambda: ADMIN_IDLE,
                 ADMIN_CONNECTIONS, shared=self.succession is not None))
@@ -151,6 +156,15 @@
 
         service.make_storms = make
 
+    async def _join(self, conf: MemberSettings) -> None:
+        """Keep a view of the fleet together with its other processes."""
+        from saltcart.net.gossip import Gossip
+
+        self.gossip = Gossip(conf, self.conf.name, self.conf.seed, self.log)
+        self.addresses["member"] = await self.gossip.open()
+        self.service.figures.append(self.gossip.figures)
+        self.log("listening", name=self.conf.name, front="member", address=self.addresses["member"])
+
     def _compose(self, plans: Plans, upstreams: Upstreams) -> None:
         """Answers of the plans' classes are made of several dependencies' replies."""
         from saltcart.net.composer import Composer
@@ -194,6 +208,8 @@
         To a process that has handed over it only tells that it is stopped soon; ``done`` is told when it has
         nothing left to do.
         """
+        if self.gossip is not None:
+            self.gossip.leave()
         if self.composer is not None:
             self.composer.hasten(self.conf.stop_after - STOP_MARGIN)
         if self.succession is None or not self.succession.retire(self.conf.stop_after, done):
@@ -221,7 +237,7 @@
             self.succession.close()
         for listener in self.listeners:
             listener.close()
-        for part in (self.pool, self.index, self.announcer):
+        for part in (self.pool, self.index, self.announcer, self.gossip):
             if part is not None:
                 part.close()
         if self.composer is not None:
--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from saltcart.budget.plan import Plans
+    from saltcart.member.settings import MemberSettings
     from saltcart.storm.settings import StormSettings
 
 NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
@@ -71,6 +72,7 @@
     tenants: tuple[TenantConf, ...] = ()
     plans: Plans | None = None  # how answers are composed of several dependencies' replies
     storm: StormSettings | None = None  # how retry storms are damped
+    member: MemberSettings | None = None  # how the fleet's processes keep a view of each other
 
 
 def name(f: Fields, key: str = "name") -> str:
@@ -124,7 +126,7 @@
 
 def read(raw: Any) -> Deployment:
     try:
-        f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant", "storm", *PLANS)
+        f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant", "storm", "member", *PLANS)
         ajp = admin = None
         if "ajp" in f.raw:
             a = only(f.part("ajp"), "enabled", "listen", "secret")
@@ -154,8 +156,14 @@
             from saltcart.storm.settings import read_storm
 
             storm = read_storm(f.part("storm").raw)
+        member = None
+        if "member" in f.raw:
+            from saltcart.member.settings import read_member
+
+            member = read_member(f.part("member").raw)
         return Deployment(ajp, admin, upstreams, tenants, plans,
-                          storm if storm is not None and storm.enabled else None)
+                          storm if storm is not None and storm.enabled else None,
+                          member if member is not None and member.enabled else None)
     except WireError as error:
         raise ConfigError(str(error)) from None
 
--- /dev/null
+++ b/saltcart/schema.py
@@ -0,0 +1,26 @@
+"""Tables checked against a msgspec schema, with errors in the words of settings.py: place, field, reason.
+
+Imported only by the parts that are on: a service without them has no msgspec.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import msgspec
+
+from saltcart.settings import WireError
+
+T = TypeVar("T")
+
+
+def convert(raw: Mapping[str, Any], form: type[T], where: str) -> T:
+    """The table ``where`` as ``form``; ``WireError`` names the field and the reason."""
+    try:
+        return msgspec.convert(dict(raw), form)
+    except msgspec.ValidationError as error:
+        reason, _, path = str(error).partition(" - at `$")
+        field = re.sub(r"^\.?", f"{where}.", path.rstrip("`")) if path else where
+        raise WireError(f"{field}: {reason}") from None
--- a/saltcart/storm/settings.py
+++ b/saltcart/storm/settings.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Mapping
 from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
-from saltcart.settings import WireError
+from saltcart.schema import convert
 
 
 class StormSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -27,9 +26,4 @@
 
 def read_storm(raw: Mapping[str, Any]) -> StormSettings:
     """The table; ``WireError`` names the field and the reason."""
-    try:
-        return msgspec.convert(dict(raw), StormSettings)
-    except msgspec.ValidationError as error:
-        reason, _, where = str(error).partition(" - at `$")
-        field = re.sub(r"^\.?", "storm.", where.rstrip("`")) if where else "storm"
-        raise WireError(f"{field}: {reason}") from None
+    return convert(raw, StormSettings, "storm")
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,144 @@
+"""The fault rig, and three real processes in it: one is killed, another paused, a third cut off."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+
+import pytest
+
+from saltcart.lab.faults.links import Links, Passed, Relay, Rule, fate
+from saltcart.lab.faults.members import present, rig
+from saltcart.lab.faults.programs import RigError
+
+WAIT = 30.0  # seconds that a busy machine may take for what takes three
+
+
+@pytest.mark.parametrize(("rule", "expected"), [
+    (Rule(), (0.0,)), (Rule(drop=1.0), ()), (Rule(cut=True), ()), (Rule(delay=0.2), (0.2,)),
+    (Rule(duplicate=1.0, delay=0.1), (0.1, pytest.approx(0.15))), (Rule(reorder=1.0), (0.05,))])
+def test_a_rule_does_what_it_says(rule: Rule, expected: tuple[float, ...]) -> None:
+    assert fate(rule, random.Random(1)) == Passed(expected)
+    assert fate(Rule(stall=True), random.Random(1)) == Passed((), keep=True)
+
+
+def test_a_links_luck_is_its_own_and_the_same_for_a_seed() -> None:
+    def played(seed: int, others: int) -> list[bool]:
+        links = Links(3, seed)
+        links.set(Rule(drop=0.5))
+        out = []
+        for _ in range(50):
+            for _ in range(others):
+                links.fate(1, 2)
+            out.append(bool(links.fate(0, 1).copies))
+        return out
+
+    assert played(1, 0) == played(1, 5) != played(2, 0)
+    assert 10 < sum(played(1, 0)) < 40
+
+
+def test_rules_are_for_one_way_both_or_between_groups() -> None:
+    links = Links(4, 1)
+    links.set(Rule(cut=True), 0, 1)
+    assert links.rule(0, 1).cut and not links.rule(1, 0).cut
+    links.set(Rule(drop=0.1), 2, 3, both=True)
+    assert links.rule(3, 2).drop == links.rule(2, 3).drop == 0.1
+    links.clear()
+    links.between(Rule(cut=True), [0, 1])
+    cut = {(a, b) for a in range(4) for b in range(4) if links.rule(a, b).cut}
+    assert cut == {(a, b) for a in range(4) for b in range(4) if (a < 2) != (b < 2)}
+
+
+def test_what_a_stalled_link_keeps_goes_on_when_it_is_released() -> None:
+    class Peer(asyncio.DatagramProtocol):
+        def __init__(self) -> None:
+            self.heard, self.more = list[bytes](), asyncio.Event()
+
+        def datagram_received(self, data: bytes, addr: object) -> None:
+            self.heard.append(data)
+            self.more.set()
+
+    async def play() -> None:
+        loop, relay = asyncio.get_running_loop(), Relay(Links(2, 1))
+        await relay.open()
+        ends = [await loop.create_datagram_endpoint(Peer, local_addr=("127.0.0.1", 0)) for _ in range(2)]
+        for n, (transport, _) in enumerate(ends):
+            relay.know(n, f"127.0.0.1:{transport.get_extra_info('sockname')[1]}")
+        to = relay.addresses[1].split(":")
+        relay.links.set(Rule(stall=True), 0, 1)
+        ends[0][0].sendto(b"late", (to[0], int(to[1])))
+        async with asyncio.timeout(WAIT):
+            while not relay.stalled:
+                await asyncio.sleep(0.001)
+            assert not ends[1][1].heard
+            relay.links.clear()
+            relay.release()
+            await ends[1][1].more.wait()
+        assert ends[1][1].heard == [b"late"] and not relay.stalled
+        for transport, _ in ends:
+            transport.close()
+        relay.close()
+
+    asyncio.run(play())
+
+
+def test_of_three_processes_one_is_killed_and_gone_from_the_others_views() -> None:
+    async def play() -> None:
+        async with rig(3, 1) as r:
+            await r.start()
+            assert await r.settle(r.names(), WAIT) is not None
+            r.programs[2].kill()
+            await r.programs[2].ended()
+            assert await r.settle(r.names(but=(2,)), WAIT) is not None
+            views = await r.look()
+            assert [present(v) for v in views if v] == [{"m0", "m1"}] * 2
+            states = Counter(m["state"] for v in views if v for m in v["members"])
+            assert states == {"alive": 4, "dead": 2}
+            # It comes back at its old addresses: the same name, newer than it was.
+            before = next(m["incarnation"] for m in (views[0] or {})["members"] if m["name"] == "m2")
+            await r.programs[2].start()
+            r.know()
+            assert await r.settle(r.names(), WAIT) is not None
+            views = await r.look()
+            after = next(m["incarnation"] for m in (views[0] or {})["members"] if m["name"] == "m2")
+            assert after > before and r.false_deaths() == 0
+
+    asyncio.run(play())
+
+
+def test_a_process_that_is_told_to_end_has_left_and_is_not_dead() -> None:
+    async def play() -> None:
+        async with rig(3, 2) as r:
+            await r.start()
+            assert await r.settle(r.names(), WAIT) is not None
+            r.programs[0].leave()
+            assert await r.settle(r.names(but=(0,)), WAIT) is not None
+            for view in (await r.look())[1:]:
+                assert view is not None
+                assert {m["name"]: m["state"] for m in view["members"]}["m0"] == "left"
+
+    asyncio.run(play())
+
+
+def test_a_cut_off_process_comes_back_into_all_views() -> None:
+    async def play() -> None:
+        async with rig(3, 3) as r:
+            await r.start()
+            assert await r.settle(r.names(), WAIT) is not None
+            r.links.between(Rule(cut=True), [1])
+            assert await r.settle({"m1"}, WAIT) is not None  # it alone takes the others for dead
+            assert await r.settle(r.names(but=(1,)), WAIT) is not None
+            r.links.clear()
+            assert await r.settle(r.names(), WAIT) is not None
+
+    asyncio.run(play())
+
+
+def test_a_program_that_cannot_start_is_told_with_its_reason() -> None:
+    async def play() -> None:
+        async with rig(1, 1, probe_wait=9.0) as r:
+            with pytest.raises(RigError, match="m0 ended"):
+                await r.programs[0].start()
+
+    asyncio.run(play())
