--- a/saltcart/lab/experiments.py
+++ b/saltcart/lab/experiments.py
@@ -61,6 +61,23 @@
     return figures
 
 
+def members(choice: Choice) -> dict[str, Any]:
+    """Real processes that keep a view of each other while they are killed, paused and cut off."""
+    from saltcart.lab import membership
+
+    rows, figures, truth = membership.run(choice.quick, choice.seed)
+    if choice.plot is not None:
+        report.plot_lines(choice.plot, truth, "share of views that are true")
+    return told(rows, figures)
+
+
+def views(choice: Choice) -> dict[str, Any]:
+    """Membership's data structures beside plain ones: bytes and time."""
+    from saltcart.lab import views as experiment
+
+    return told(*experiment.run(choice.quick, choice.seed))
+
+
 def sketch(choice: Choice) -> dict[str, Any]:
     """The quantile sketch beside a plain sorted window: bytes, error, time."""
     from saltcart.lab import sketches
@@ -90,5 +107,5 @@
 
 
 EXPERIMENTS: dict[str, Callable[[Choice], dict[str, Any]]] = {
-    "budgets": budgets, "storm": storm, "ablations": ablations, "sketch": sketch, "filters": filters,
-    "clock": clock}
+    "budgets": budgets, "storm": storm, "members": members, "views": views,
+    "ablations": ablations, "sketch": sketch, "filters": filters, "clock": clock}
--- a/saltcart/lab/faults/members.py
+++ b/saltcart/lab/faults/members.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -26,7 +26,7 @@
     links: Links
     relay: Relay
     looks: list[tuple[float, list[dict[str, Any] | None]]] = field(default_factory=list)
-    marks: dict[str, float] = field(default_factory=dict)
+    spans: list[tuple[float, float]] = field(default_factory=list)  # in which links were cut for good
 
     async def start(self, numbers: range | None = None) -> None:
         """Start some of them, or all; the relay knows where they listen before they are asked for."""
@@ -52,11 +52,15 @@
     def agreed(self, views: list[dict[str, Any] | None], expected: set[str]) -> bool:
         """All that are expected show the same members, and just these."""
         for program, view in zip(self.programs, views):
-            if program.name in expected and (view is None or present(view) != expected):
+            if program.name in expected and (view is None or not self.shows(view, expected)):
                 return False
         digests = {v["digest"] for p, v in zip(self.programs, views) if v and p.name in expected}
         return len(digests) == 1
 
+    @staticmethod
+    def shows(view: dict[str, Any], expected: set[str]) -> bool:
+        return present(view) == expected
+
     async def settle(self, expected: set[str], wait: float) -> float | None:
         """Seconds until all agree on the expected members; None if they do not within ``wait``."""
         begun = time.time()
@@ -130,6 +134,3 @@
             yield Rig(programs, links, relay)
     finally:
         relay.close()
-
-
-Script = Callable[[Rig], Awaitable[dict[str, Any]]]
--- a/saltcart/lab/faults/programs.py
+++ b/saltcart/lab/faults/programs.py
@@ -87,6 +87,10 @@
     def up(self) -> bool:
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def frozen(self) -> bool:
+        return bool(self.paused) and self.paused[-1][1] == float("inf")
+
     async def start(self) -> None:
         """Start it, or start it again at its old addresses; returns once every front listens."""
         config, deployment = self.folder / f"{self.name}.json", self.folder / f"{self.name}.toml"
@@ -156,7 +160,7 @@
             self.paused.append((time.time(), float("inf")))
 
     def resume(self) -> None:
-        if self.up and self.paused and self.paused[-1][1] == float("inf"):
+        if self.up and self.frozen:
             assert self.process is not None
             self.process.send_signal(signal.SIGCONT)
             self.paused[-1] = self.paused[-1][0], time.time()
@@ -187,7 +191,9 @@
     # ---- what it shows ------------------------------------------------------------------------
 
     async def admin(self, path: str) -> Any:
-        """What the administration API answers; None where it does not answer."""
+        """What the administration API answers; None where it does not answer, or does not listen yet."""
+        if "admin" not in self.addresses:
+            return None
         data = (f"GET {path} HTTP/1.1\r\nHost: rig\r\nAuthorization: Bearer {TOKEN}\r\n"
                 f"Connection: close\r\n\r\n").encode()
         try:
--- a/saltcart/member/spread.py
+++ b/saltcart/member/spread.py
@@ -39,11 +39,12 @@
         out = list[Record]()
         if not self.count:
             return out
-        for times in range(len(self.told)):
-            for record in list(self.told[times].values()):
-                if record.size() > room:
+        for tier in self.told:
+            for record in tier.values():
+                size = record.size()
+                if size > room:
                     return self._tell(out, most)
-                room -= record.size()
+                room -= size
                 out.append(record)
         return self._tell(out, most)
 
--- /dev/null
+++ b/tests/test_members_model.py
@@ -0,0 +1,80 @@
+"""The model of large fleets, its baseline, and what the experiment on membership makes of plays."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from saltcart.cli import cli
+from saltcart.lab import members as model
+from saltcart.lab.members import Day, Seen, percentile
+from saltcart.member.detector import Detector
+from saltcart.member.record import State
+from saltcart.member.settings import MemberSettings
+
+
+def play(kind: str, day: Day, seed: int = 1) -> Seen:
+    return model.play((kind, day, seed))
+
+
+CRASH = Day("crash", 40, 14.0, (2.0, 3.0))
+
+
+def test_the_same_play_twice_is_the_same_and_another_seed_another() -> None:
+    first, again, other = play("swim", CRASH), play("swim", CRASH), play("swim", CRASH, 2)
+    assert (first.detected, first.packets) == (again.detected, again.packets)
+    assert first.detected != other.detected
+
+
+def test_crashes_are_known_to_all_and_the_views_agree() -> None:
+    seen = play("swim", CRASH)
+    assert (seen.missed, seen.deaths, seen.agree) == (0, 0, 1.0) and len(seen.detected) == 2 * 38
+    assert percentile(seen.detected, 0.99) < 6
+
+
+def test_what_is_sent_in_quiet_times_does_not_grow_with_the_fleet() -> None:
+    rates = [play("swim", Day("quiet", count, 6.0)).quiet for count in (25, 400)]
+    assert rates[1] / rates[0] < 1.1
+    beats = [play("beats", Day("quiet", count, 3.0)).quiet for count in (25, 100)]
+    assert beats[1] / beats[0] > 3.5
+
+
+def test_lost_packets_make_heartbeats_kill_the_healthy_and_not_us() -> None:
+    day = Day("loss", 15, 40.0, loss=0.3)
+    assert play("swim", day).deaths == 0 and play("beats", day).deaths > 10
+
+
+def test_without_the_rule_of_trying_oneself_and_without_waiting_the_healthy_die(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """A suspicion that nobody may shorten or clear by knocking is what the guards are held against."""
+    monkeypatch.setattr(Detector, "_knock", lambda *_: None)
+    monkeypatch.setattr(Detector, "_ended", lambda self, name, suspicion: (
+        self._declare(name) if self.suspicions.get(name) is suspicion else None))
+    conf = MemberSettings("127.0.0.1:0", "model", suspect_for=1.0, suspect_most=1.0)
+    net = model.Swim(Day("loss", 15, 60.0, loss=0.4), 1, conf)
+    assert net.run().deaths > 0
+
+
+def test_a_split_fleet_agrees_again() -> None:
+    seen = play("swim", Day("split", 10, 50.0, split=(3.0, 23.0)))
+    assert seen.converged is not None and seen.converged < 10 and seen.agree == 1.0
+
+
+def test_members_on_a_shared_roster_change_nothing_of_each_other() -> None:
+    net = model.Swim(Day("quiet", 6, 1.0), 1)
+    one, other = net.members[0].view, net.members[1].view
+    record = one.get("m5")
+    assert record is not None
+    one.merge(record.said(State.DEAD, "m0"), net.events.now)
+    held = other.get("m5")
+    assert held is not None and held.state == State.ALIVE and one.digest != other.digest
+
+
+def test_the_structures_are_smaller_or_quicker_than_plain_ones() -> None:
+    ran = CliRunner().invoke(cli, ["lab", "run", "views", "--quick"])
+    figures = json.loads(ran.output.splitlines()[-1])
+    assert figures["view_bytes_each"] < figures["view_bytes_each_plain"] / 3
+    assert figures["turn_bytes"] < figures["turn_bytes_plain"] / 10
+    assert figures["digest_ns_each"] < figures["digest_ns_each_plain"] / 10
