Locality: work stays near while that is safe, zones fail over by one plan of all

Instances that each decide alone send a zone's work away as a herd, push other zones past what they can do, and swing with every flap.

Change: saltcart/locality decides: outliers (failures in a row, share of good ends, slowness as lost capacity), each instance's report to its zone's speaker, the speaker's sum on a board that membership now carries (member/board.py: the newest post of a topic, told like news), and a plan that follows from the plan before, the sums and the moment alone.

Found on the way: an empty row (everything refused) was read as a row that is not there (hypothesis); trials of doubted zones from everywhere were a load of 32 requests a second on a zone of 60, which brought it down again after each recovery: only a zone's own instances try it now, one request in ten at most.

--- a/saltcart/admin/api.py
+++ b/saltcart/admin/api.py
@@ -10,6 +10,7 @@
     GET /v1/dependencies                    what composed runs know of theirs
     GET /v1/storm                           retries, who amplifies, what callers are told
     GET /v1/members                         the fleet as this process sees it
+    GET /v1/locality                        zones, their trust, and where work goes
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 if TYPE_CHECKING:
     from saltcart.net.composer import Composer
     from saltcart.net.gossip import Gossip
+    from saltcart.net.nearby import Nearby
     from saltcart.storm.damper import Damper
 
 Reply = tuple[int, Any]
@@ -46,13 +48,14 @@
 class Api:
     def __init__(self, service: Service, registry: Registry, token: str,
                  composer: Composer | None = None,
-                 damper: Callable[[], Damper | None] = lambda: None, gossip: Gossip | None = None) -> None:
+                 damper: Callable[[], Damper | None] = lambda: None, gossip: Gossip | None = None,
+                 nearby: Nearby | None = None) -> None:
         self.service, self.registry, self.token = service, registry, token.encode()
-        self.composer, self.damper, self.gossip = composer, damper, gossip
+        self.composer, self.damper, self.gossip, self.nearby = composer, damper, gossip, nearby
         self.routes: dict[str, dict[str, Callable[..., Reply]]] = {
             "state": {"GET": self.state}, "counts": {"GET": self.counts},
             "dependencies": {"GET": self.dependencies}, "storm": {"GET": self.storm},
-            "members": {"GET": self.members},
+            "members": {"GET": self.members}, "locality": {"GET": self.locality},
             "shares": {"GET": self.shares, "PUT": self.put_shares},
             "tenants": {"GET": self.tenants, "POST": self.post_tenant},
             "upstreams": {"GET": self.upstreams, "POST": self.post_upstream},
@@ -125,6 +128,9 @@
     def members(self) -> Reply:
         return 200, {} if self.gossip is None else self.gossip.state()
 
+    def locality(self) -> Reply:
+        return 200, {} if self.nearby is None else self.nearby.state()
+
     # ---- tenants and shares -------------------------------------------------------------------
 
     def _tenant(self, name: str) -> dict[str, Any]:
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -35,6 +35,7 @@
     from saltcart.member.settings import MemberSettings
     from saltcart.net.composer import Composer
     from saltcart.net.gossip import Gossip
+    from saltcart.net.nearby import Nearby
     from saltcart.storm.damper import Damper
     from saltcart.storm.settings import StormSettings
 
@@ -87,6 +88,7 @@
         self.composer: Composer | None = None
         self.damper: Damper | None = None
         self.gossip: Gossip | None = None
+        self.nearby: Nearby | None = None
         self.runs: Runs | None = None  # set before the start: in the place of a pool or upstreams
         self.ticker: Ticker | None = None
 
@@ -137,7 +139,8 @@
                                 Path(admin.state) if admin.state else None)
             if self.composer is not None:
                 registry.forget = self.composer.desk.last_good.forget
-            api = Api(service, registry, admin.token, self.composer, lambda: self.damper, self.gossip)
+            api = Api(service, registry, admin.token, self.composer, lambda: self.damper, self.gossip,
+                      self.nearby)
             await self._listen("admin", Listener(
                 admin.listen, lambda owner: AdminConnection(owner, api), lambda: ADMIN_IDLE,
                 ADMIN_CONNECTIONS, shared=self.succession is not None))
@@ -164,6 +167,15 @@
         self.addresses["member"] = await self.gossip.open()
         self.service.figures.append(self.gossip.figures)
         self.log("listening", name=self.conf.name, front="member", address=self.addresses["member"])
+        locality, upstreams = self.deployment.locality, self.upstreams
+        if locality is None or upstreams is None:
+            return
+        from saltcart.net.nearby import Nearby
+
+        upstream = next(u for u in self.deployment.upstreams if u.name == locality.upstream)
+        self.nearby = Nearby(locality, upstream, self.gossip, upstreams.by_name[upstream.name],
+                             self.conf.seed + 1, self.log)
+        self.service.figures.append(self.nearby.locality.figures)
 
     def _compose(self, plans: Plans, upstreams: Upstreams) -> None:
         """Answers of the plans' classes are made of several dependencies' replies."""
@@ -237,7 +249,7 @@
             self.succession.close()
         for listener in self.listeners:
             listener.close()
-        for part in (self.pool, self.index, self.announcer, self.gossip):
+        for part in (self.nearby, self.pool, self.index, self.announcer, self.gossip):
             if part is not None:
                 part.close()
         if self.composer is not None:
--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from saltcart.budget.plan import Plans
+    from saltcart.locality.settings import LocalitySettings
     from saltcart.member.settings import MemberSettings
     from saltcart.storm.settings import StormSettings
 
@@ -46,6 +47,9 @@
     host: str
     weight: float = 1.0
     secret: str = ""
+    zone: str = ""
+    region: str = ""
+    capacity: float = 0.0  # requests a second, where work is spread over zones
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +77,7 @@
     plans: Plans | None = None  # how answers are composed of several dependencies' replies
     storm: StormSettings | None = None  # how retry storms are damped
     member: MemberSettings | None = None  # how the fleet's processes keep a view of each other
+    locality: LocalitySettings | None = None  # how an upstream's work is spread over zones
 
 
 def name(f: Fields, key: str = "name") -> str:
@@ -94,9 +99,11 @@
     f = only(Fields(raw, where), "name", "members")
     members = []
     for n, item in enumerate(f.array("members")):
-        m = only(Fields(item, f"{where}.members[{n}]"), "host", "weight", "secret")
+        m = only(Fields(item, f"{where}.members[{n}]"), "host", "weight", "secret", "zone", "region",
+                 "capacity")
         weight = m.number("weight", 1.0, low=0.001, high=1000)
-        members.append(MemberConf(place(m, "host"), weight, m.text("secret", "")))
+        members.append(MemberConf(place(m, "host"), weight, m.text("secret", ""), m.text("zone", ""),
+                                  m.text("region", ""), m.number("capacity", 0.0)))
     if not members:
         raise WireError(f"{where}: field members is empty")
     if len({m.host for m in members}) != len(members):
@@ -124,9 +131,29 @@
         raise WireError("tenants: the shares add up to more than 1")
 
 
+def check_locality(locality: LocalitySettings, member: MemberSettings | None,
+                   upstreams: tuple[UpstreamConf, ...]) -> None:
+    """What has to hold of zones, members and upstreams together; ``WireError`` says what does not."""
+    if member is None:
+        raise WireError("locality: zones are agreed on through [member], which is not there or off")
+    upstream = next((u for u in upstreams if u.name == locality.upstream), None)
+    if upstream is None:
+        raise WireError(f"locality.upstream: no such upstream: {locality.upstream}")
+    for m in upstream.members:
+        if not m.zone or m.capacity <= 0:
+            raise WireError(f"upstream {upstream.name}: member {m.host}: needs a zone and a capacity")
+    if member.zone not in {m.zone for m in upstream.members}:
+        raise WireError(f"member.zone: {member.zone!r} is no zone of upstream {upstream.name}")
+    regions: dict[str, str] = {}
+    for m in upstream.members:
+        if regions.setdefault(m.zone, m.region) != m.region:
+            raise WireError(f"upstream {upstream.name}: zone {m.zone} is in two regions")
+
+
 def read(raw: Any) -> Deployment:
     try:
-        f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant", "storm", "member", *PLANS)
+        f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant", "storm", "member",
+                 "locality", *PLANS)
         ajp = admin = None
         if "ajp" in f.raw:
             a = only(f.part("ajp"), "enabled", "listen", "secret")
@@ -161,9 +188,16 @@
             from saltcart.member.settings import read_member
 
             member = read_member(f.part("member").raw)
+            member = member if member.enabled else None
+        locality = None
+        if "locality" in f.raw:
+            from saltcart.locality.settings import read_locality
+
+            locality = read_locality(f.part("locality").raw)
+            check_locality(locality, member, upstreams)
+            locality = locality if locality.enabled else None
         return Deployment(ajp, admin, upstreams, tenants, plans,
-                          storm if storm is not None and storm.enabled else None,
-                          member if member is not None and member.enabled else None)
+                          storm if storm is not None and storm.enabled else None, member, locality)
     except WireError as error:
         raise ConfigError(str(error)) from None
 
--- a/saltcart/lab/experiments.py
+++ b/saltcart/lab/experiments.py
@@ -71,6 +71,16 @@
     return told(rows, figures)
 
 
+def zones(choice: Choice) -> dict[str, Any]:
+    """Zones that fall, slow down, are cut off and flap, in a model of thousands and with real processes."""
+    from saltcart.lab import nearness
+
+    rows, figures, curves = nearness.run(choice.quick, choice.seed)
+    if choice.plot is not None:
+        report.plot_lines(choice.plot, curves, "share of the troubled work served")
+    return told(rows, figures)
+
+
 def views(choice: Choice) -> dict[str, Any]:
     """Membership's data structures beside plain ones: bytes and time."""
     from saltcart.lab import views as experiment
@@ -108,4 +118,5 @@
 
 EXPERIMENTS: dict[str, Callable[[Choice], dict[str, Any]]] = {
     "budgets": budgets, "storm": storm, "members": members, "views": views,
+    "zones": zones,
     "ablations": ablations, "sketch": sketch, "filters": filters, "clock": clock}
--- /dev/null
+++ b/saltcart/lab/faults/zones.py
@@ -0,0 +1,235 @@
+"""Zones in the rig: nine real processes in three zones, each with three stand-in members, and callers.
+
+Each process reaches each member at a port of its own, so that what lies between the two can be cut without
+touching the others.  What members say to each other goes through the relay.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from saltcart.lab.faults.links import Links, Relay, Rule
+from saltcart.lab.faults.members import CLASSES, LOOK
+from saltcart.lab.faults.programs import TOKEN, Program, call, fleet, settings, start_all
+from saltcart.lab.standins import Act, AjpStandIn, Asked
+
+INSTANCES, ZONES, MEMBERS = 9, 3, 3
+REGION = ("r0", "r0", "r1")
+RATE = 8.0  # requests a second of one instance
+CAPACITY = 14.0  # requests a second of one member: 42 a zone, of which 24 are its own
+TOOK = 0.03
+SETTLE = 20.0
+DEADLINE = 3.0
+
+
+class Play(NamedTuple):
+    """Times in seconds; the trouble lasts from ``begin`` to ``end``."""
+
+    name: str
+    seconds: float
+    begin: float
+    end: float
+
+
+PLAYS = (Play("zone lost", 45.0, 8.0, 18.0), Play("half slow", 30.0, 8.0, 28.0),
+         Play("cut", 40.0, 8.0, 20.0), Play("flap", 40.0, 8.0, 38.0))
+
+
+@dataclass
+class Told:
+    requests: int = 0
+    good: int = 0
+    healthy: int = 0  # requests of zones in health, and of these
+    home: int = 0  # those that their own zone's members did
+    served: Counter[int] = field(default_factory=Counter)  # of the first zone, by half second
+    offered: Counter[int] = field(default_factory=Counter)
+    failover: float | None = None
+    moves: int = 0
+    swings: int = 0
+    agree: float = 0.0
+    over: int = 0  # seconds in which more than a zone's capacity came to it
+    plans: list[int] = field(default_factory=list)
+
+
+class Site:
+    """One member's work, whichever process asks for it."""
+
+    def __init__(self, number: int) -> None:
+        self.number, self.zone = number, number // MEMBERS
+        self.free_at, self.slow, self.down = 0.0, 1.0, False
+        self.came = Counter[int]()  # by second
+        self.did = Counter[int]()  # requests by the process that sent them
+
+
+class Rig:
+    def __init__(self, play: Play, seed: int) -> None:
+        self.play, self.luck, self.told = play, random.Random(seed), Told()
+        self.sites = [Site(n) for n in range(ZONES * MEMBERS)]
+        self.links = Links(INSTANCES, seed)
+        self.relay = Relay(self.links)
+        self.cut = set[tuple[int, int]]()  # processes and members between which nothing passes
+        self.begun = 0.0
+        self.stand_ins: dict[tuple[int, int], AjpStandIn] = {}
+        self.programs: list[Program] = []
+
+    def script(self, process: int, member: int) -> Any:
+        site = self.sites[member]
+
+        def act(asked: Asked) -> Act:
+            if (process, member) in self.cut:
+                return Act("silent")
+            now = time.time()
+            site.came[int(now - self.begun)] += 1
+            begin = max(now, site.free_at)
+            site.free_at = begin + site.slow / CAPACITY
+            site.did[process] += 1
+            return Act("ok", begin - now + TOOK * site.slow, b"%d" % site.zone)
+
+        return act
+
+    def make(self, number: int, folder: Path) -> Program:
+        members = [{"host": self.stand_ins[number, m].address, "zone": f"z{m // MEMBERS}",
+                    "region": REGION[m // MEMBERS], "capacity": CAPACITY} for m in range(ZONES * MEMBERS)]
+        zone = number % ZONES
+        return Program(f"i{number}", folder, {
+            "listen": "127.0.0.1:0", "seed": f"{number + 7:x}", "settings": settings(CLASSES, 8),
+            "limits": {"sockets": 512}}, {
+            "admin": {"listen": "127.0.0.1:0", "token": TOKEN},
+            "member": {"listen": "127.0.0.1:0", "cluster": "zones", "advertise": self.relay.addresses[number],
+                       "seeds": self.relay.addresses[:3], "zone": f"z{zone}", "region": REGION[zone]},
+            "upstream": [{"name": "work", "members": members}], "locality": {"upstream": "work"},
+            "tenant": [{"name": "rig", "share": 1.0, "quota": 10_000.0}]})
+
+    async def run(self) -> Told:
+        await self.relay.open()
+        try:
+            async with AsyncExitStack() as stack:
+                for process in range(INSTANCES):
+                    for member in range(ZONES * MEMBERS):
+                        made = AjpStandIn(self.script(process, member))
+                        self.stand_ins[process, member] = await stack.enter_async_context(made)
+                        made.port = int(made.address.split(":")[1])
+                self.programs = await stack.enter_async_context(fleet(INSTANCES, self.make))
+                await start_all(self.programs)
+                for number, program in enumerate(self.programs):
+                    self.relay.know(number, program.addresses["member"])
+                await self.settled()
+                await self.day()
+        finally:
+            self.relay.close()
+        return self.told
+
+    async def states(self) -> list[dict[str, Any] | None]:
+        return list(await asyncio.gather(*(p.admin("/v1/locality") for p in self.programs)))
+
+    async def settled(self) -> None:
+        """Everybody knows of all zones."""
+        async with asyncio.timeout(SETTLE):
+            while not all(s is not None and len(s["zones"]) == ZONES for s in await self.states()):
+                await asyncio.sleep(LOOK)
+
+    # ---- the day ------------------------------------------------------------------------------
+
+    async def day(self) -> None:
+        play, told = self.play, self.told
+        self.begun = time.time() + 0.2
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.trouble())
+            at = 0.0
+            while (at := at + self.luck.expovariate(RATE * INSTANCES)) < play.seconds:
+                group.create_task(self.request(at, self.luck.randrange(INSTANCES)))
+        plans = [e for p in self.programs for e in p.events if e["event"] == "locality-plan"]
+        # One plan is told by each process that took it up; the number and its author name it.
+        rows = [tuple(sorted((z, *sorted(r.items())) for z, r in e["rows"].items()))
+                for e in sorted(plans, key=lambda e: e["at"])]
+        told.moves = sum(a != b for a, b in zip([(), *dict.fromkeys(rows)], dict.fromkeys(rows)))
+        away = [1000 - e["rows"].get("z0", {"z0": 1000}).get("z0", 0) for e in
+                sorted((e for e in self.programs[0].events if e["event"] == "locality-plan"),
+                       key=lambda e: e["at"])]
+        told.swings = sum((a < 500) != (b < 500) for a, b in zip([0, *away], away))
+        await asyncio.sleep(2.0)
+        told.plans = [s["plan"] for s in await self.states() if s is not None]
+        held = Counter(told.plans)
+        told.agree = sum(n * (n - 1) for n in held.values()) / (INSTANCES * (INSTANCES - 1))
+        for half in range(int(2 * play.begin), int(2 * play.end) - 2):
+            span = range(half, half + 3)
+            offered = sum(told.offered[h] for h in span)
+            if offered and sum(told.served[h] for h in span) >= 0.99 * offered:
+                told.failover = half / 2 - play.begin
+                break
+        for zone in range(ZONES):
+            sites = [s for s in self.sites if s.zone == zone]
+            told.over += sum(sum(s.came[n] for s in sites) > 1.2 * MEMBERS * CAPACITY
+                             for n in range(int(play.seconds)))
+
+    async def request(self, at: float, instance: int) -> None:
+        await asyncio.sleep(max(0.0, self.begun + at - time.time()))
+        play, told, zone = self.play, self.told, instance % ZONES
+        told.requests += 1
+        hurt = zone == 0 and play.begin <= at and play.name != "cut"
+        told.healthy += not hurt
+        told.offered[int(2 * at)] += zone == 0
+        number = told.requests
+        data = (f"POST /call/read HTTP/1.1\r\nHost: lab\r\nRequest-Id: {number:016x}\r\n"
+                f"Account: rig\r\n"
+                f"Received-At: {time.time() * 1000:.0f}\r\nBudget-Ms: {DEADLINE * 1000:.0f}\r\n"
+                f"Footprint-Kb: 5\r\nPriority-Rank: {self.luck.random():.4f}\r\nContent-Length: 1\r\n"
+                f"Connection: close\r\n\r\nx").encode()
+        try:
+            answer = await call(self.programs[instance].addresses["http"], data, DEADLINE + 1)
+        except (OSError, TimeoutError):
+            return
+        good = answer.status == 200
+        told.good += good
+        told.home += good and not hurt and answer.body == b"%d" % zone
+        told.served[int(2 * at)] += zone == 0 and good
+
+    async def trouble(self) -> None:
+        play = self.play
+        await self.until(play.begin)
+        mine = [n for n in range(INSTANCES) if n % ZONES == 0]
+        if play.name == "zone lost":
+            for (_, member), stand_in in self.stand_ins.items():
+                if member < MEMBERS:
+                    await stand_in.__aexit__()
+            await self.until(play.end)
+            for (_, member), stand_in in self.stand_ins.items():
+                if member < MEMBERS:
+                    await stand_in.__aenter__()
+        elif play.name == "half slow":
+            self.sites[0].slow = self.sites[1].slow = 10.0
+            await self.until(play.end)
+            self.sites[0].slow = self.sites[1].slow = 1.0
+        elif play.name == "cut":
+            self.links.between(Rule(cut=True), mine)
+            self.cut = {(n, m) for n in range(INSTANCES) for m in range(ZONES * MEMBERS)
+                        if (n in mine) != (m < MEMBERS)}
+            await self.until(play.end)
+            self.links.clear()
+            self.cut = set()
+        else:
+            own = {(n, m) for n in mine for m in range(MEMBERS)}
+            at = play.begin
+            while at < play.end:
+                self.cut = own if not self.cut else set()
+                at += 2.0
+                await self.until(min(at, play.end))
+            self.cut = set()
+
+    async def until(self, at: float) -> None:
+        await asyncio.sleep(max(0.0, self.begun + at - time.time()))
+
+
+def play(job: tuple[int, int]) -> Told:
+    """A play by its number in ``PLAYS``, in a process of its own."""
+    async def run() -> Told:
+        return await Rig(PLAYS[job[0]], job[1]).run()
+
+    return asyncio.run(run())
--- a/saltcart/member/detector.py
+++ b/saltcart/member/detector.py
@@ -21,6 +21,7 @@
 
 from saltcart.core.timers import Timers
 from saltcart.member import messages as m
+from saltcart.member.board import Board, Post
 from saltcart.member.record import Record, State
 from saltcart.member.settings import MemberSettings
 from saltcart.member.spread import Spread, tellings
@@ -64,6 +65,9 @@
         self.me = Record(name, address, born, State.ALIVE, conf.zone, conf.region)
         self.view, self.spread, self.health = View(base), Spread(), LocalHealth()
         self.rotation, self.timers = Rotation(rng), Timers()
+        self.board = Board()
+        # Told of what another member gives to this one: from whom, on which topic, and what.
+        self.given: Callable[[Record, str, bytes], None] = lambda sender, topic, data: None
         self.out: list[Sent] = []
         self.seq = 0
         self.probes: dict[int, Probe] = {}
@@ -121,6 +125,8 @@
         else:
             for record in news:
                 self._hear(record)
+        for post in packet.posts:
+            self.board.take(post, now)
         if not self.silent:
             self._act(sender, message)
 
@@ -135,6 +141,19 @@
         for _ in range(LEAVE_TELLS):
             self._tell_some()
 
+    def post(self, now: float, topic: str, data: bytes, number: int | None = None) -> None:
+        """Put something on the board that all members share."""
+        self.now = now
+        self.board.write(topic, self.me.name, data, now, number)
+
+    def give(self, now: float, name: str, topic: str, data: bytes) -> None:
+        """Something for one member alone, sent once; lost where a packet is."""
+        self.now = now
+        if name == self.me.name:
+            self.given(self.me, topic, data)
+        elif (target := self.view.get(name)) is not None:
+            self._send(target.address, name, m.Give(topic, data), len(data) + len(topic))
+
     # ---- sending ------------------------------------------------------------------------------
 
     def _send(self, address: str, name: str, message: m.Message, room: int = 0) -> None:
@@ -145,12 +164,18 @@
         if known is not None and known.state != State.ALIVE:
             news.append(known)
             room -= known.size()
+        posts = list[Post]()
         if not isinstance(message, (m.Records, m.Parts)):
-            news += [r for r in self.spread.take(room, tellings(self.view.present)) if r is not known]
-        self._packet(address, message, news)
+            most = tellings(self.view.present)
+            told = [r for r in self.spread.take(room, most) if r is not known]
+            news += told
+            if len(self.board.tiers):
+                posts = self.board.tiers.take(room - sum(r.size() for r in told), most)
+        self._packet(address, message, news, posts)
 
-    def _packet(self, address: str, message: m.Message, news: list[Record]) -> None:
-        self.out.append((address, m.Packet(m.WIRE, self.conf.cluster, self.me, message, news)))
+    def _packet(self, address: str, message: m.Message, news: list[Record],
+                posts: list[Post] | None = None) -> None:
+        self.out.append((address, m.Packet(m.WIRE, self.conf.cluster, self.me, message, news, posts or [])))
 
     def _number(self) -> int:
         self.seq += 1
@@ -213,6 +238,8 @@
                 self._send(sender.address, sender.name, m.Ack(seq))
             case m.Ack(seq):
                 self._acked(seq)
+            case m.Give(topic, data):
+                self.given(sender, topic, data)
             case m.Ask(seq, name, address):
                 number = self._number()
                 self.relays[number] = Relay(sender.address, seq)
@@ -382,7 +409,7 @@
             self._send(peer.address, peer.name, m.Tell())
 
     def _gossip(self) -> None:
-        if len(self.spread):
+        if len(self.spread) or len(self.board.tiers):
             self._tell_some()
         self.timers.at(self.now + self._jittered(self.conf.gossip_every), self._gossip)
 
@@ -394,6 +421,10 @@
         if not self._in_flux():
             for peer in self.view.sample(self.rng, 1, {self.me.name}):
                 self._send(peer.address, peer.name, digest)
+        if self.board.posts:
+            room = m.MOST_BYTES - m.OVERHEAD - self.me.size()
+            for peer in self.view.sample(self.rng, 1, {self.me.name}):
+                self._packet(peer.address, m.Tell(), [], self.board.turn(room))
         if (lost := self._lost()) is not None:
             self._send(*lost, digest)
 
--- a/saltcart/member/messages.py
+++ b/saltcart/member/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Meta
 
+from saltcart.member.board import MOST_DATA, Post
 from saltcart.member.record import Record, State
 from saltcart.wire.errors import Malformed
 
@@ -60,7 +61,14 @@
     wanted: Annotated[list[int], Meta(max_length=64)]
 
 
-Message = Ping | Ack | Ask | Nack | Tell | Digest | Parts | Records
+class Give(msgspec.Struct, array_like=True, frozen=True, tag="give"):
+    """Something for one member alone; ``topic`` says which part of the program it is for."""
+
+    topic: str
+    data: bytes
+
+
+Message = Give | Ping | Ack | Ask | Nack | Tell | Digest | Parts | Records
 
 
 class Packet(msgspec.Struct, array_like=True, frozen=True):
@@ -69,6 +77,7 @@
     sender: Record
     message: Message
     news: list[Record] = []
+    posts: list[Post] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -91,4 +100,7 @@
         if not 0 < len(record.name) <= NAME or not 0 <= record.state <= State.LEFT or not (
                 0 < record.incarnation < 1 << 62):
             raise Malformed(f"record of {record.name[:NAME]!r}")
+    for post in packet.posts:
+        if not 0 < len(post.topic) <= NAME or len(post.data) > MOST_DATA or not 0 < post.number < 1 << 62:
+            raise Malformed(f"post on {post.topic[:NAME]!r}")
     return packet
--- a/saltcart/member/spread.py
+++ b/saltcart/member/spread.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from math import ceil, log10
+from typing import Generic, Protocol, TypeVar
 
 from saltcart.member.record import Record
 
@@ -18,25 +19,36 @@
     return ceil(ROUNDS * log10(members + 1))
 
 
-class Spread:
+class Tellable(Protocol):
+    @property
+    def name(self) -> str: ...
+    def size(self) -> int: ...
+
+
+T = TypeVar("T", bound=Tellable)
+
+
+class Tiers(Generic[T]):
+    """The latest of each name, by how often it was told."""
+
     def __init__(self) -> None:
-        self.told: list[dict[str, Record]] = [{}]
+        self.told: list[dict[str, T]] = [{}]
         self.count: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self.count)
 
-    def put(self, record: Record) -> None:
-        """Tell this report from now on, in the place of an older one."""
+    def put(self, record: T) -> None:
+        """Tell this one from now on, in the place of an older one."""
         before = self.count.pop(record.name, None)
         if before is not None:
             del self.told[before][record.name]
         self.told[0][record.name] = record
         self.count[record.name] = 0
 
-    def take(self, room: int, most: int) -> list[Record]:
-        """What fits into ``room`` bytes; a report that was told ``most`` times is dropped."""
-        out = list[Record]()
+    def take(self, room: int, most: int) -> list[T]:
+        """What fits into ``room`` bytes; what was told ``most`` times is dropped."""
+        out = list[T]()
         if not self.count:
             return out
         for tier in self.told:
@@ -48,7 +60,7 @@
                 out.append(record)
         return self._tell(out, most)
 
-    def _tell(self, records: list[Record], most: int) -> list[Record]:
+    def _tell(self, records: list[T], most: int) -> list[T]:
         for record in records:
             times = self.count.pop(record.name)
             del self.told[times][record.name]
@@ -58,3 +70,6 @@
                 self.told[times + 1][record.name] = record
                 self.count[record.name] = times + 1
         return records
+
+
+Spread = Tiers[Record]  # news of members
--- a/saltcart/net/ajp.py
+++ b/saltcart/net/ajp.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from saltcart.core.ports import Log
 from saltcart.interface import Outcome
@@ -78,12 +79,22 @@
             return await self.answer
 
 
+class Chooser(Protocol):
+    """Who decides on the member, where it is not just the one with the least to do."""
+
+    def arrived(self) -> None: ...
+    def choose(self, tried: set[str], safe: bool) -> str | None: ...
+    def ended(self, host: str, good: bool, took: float, refused: bool) -> None: ...
+
+
 class AjpUpstream:
-    """Sends each run to the member that has the least to do for its weight."""
+    """Sends each run to the member that has the least to do for its weight, or that a chooser names."""
 
     def __init__(self, members: list[Member], ended: Callable[[bytes, Outcome, float, bytes], None],
                  log: Log) -> None:
         self.members, self.ended, self.log = members, ended, log
+        self.by_host = {m.host: m for m in members}
+        self.chooser: Chooser | None = None
         self.tasks: dict[bytes, asyncio.Task[None]] = {}
         self.closed = False
         self.sweeper: asyncio.TimerHandle | None = None
@@ -145,11 +156,17 @@
     async def _try_members(self, ident: bytes, klass: str, account: str, body: bytes, once: bool,
                            until: float) -> tuple[Outcome, bytes]:
         tried, repeats = set[Member](), 0 if once else 1
-        while (member := self._choose(tried)) is not None:
+        loop, chooser = asyncio.get_running_loop(), self.chooser
+        if chooser is not None:
+            chooser.arrived()
+        while (member := self._choose(tried, once)) is not None:
             tried.add(member)
+            sent, good, refused = loop.time(), False, False
             try:
                 response = await self._forward(member, ident, klass, account, body, once, until)
+                good = response.status == 200
             except NeverRan:
+                refused = True
                 continue
             except OSError as error:
                 self.log("member-lost", member=member.host, id=ident.decode(), error=str(error))
@@ -158,12 +175,18 @@
                 repeats -= 1
                 tried.discard(member)
                 continue
+            finally:  # a run that was given up in its time tells of a member as well as one that broke off
+                if chooser is not None:
+                    chooser.ended(member.host, good, loop.time() - sent, refused)
             if response.status in REFUSED:
                 continue
             return (Outcome.OK, response.body) if response.status == 200 else (Outcome.ERROR, b"")
         return Outcome.MOOT, b""  # every member proved that it never ran
 
-    def _choose(self, tried: set[Member]) -> Member | None:
+    def _choose(self, tried: set[Member], once: bool) -> Member | None:
+        if self.chooser is not None:
+            host = self.chooser.choose({m.host for m in tried}, not once)
+            return None if host is None else self.by_host.get(host)
         now = asyncio.get_running_loop().time()
         fresh = [m for m in self.members if m not in tried]
         able = [m for m in fresh if m.rests_until <= now] or fresh
--- a/saltcart/net/gossip.py
+++ b/saltcart/net/gossip.py
@@ -55,7 +55,7 @@
         """The process will end: the others are told so."""
         if self.detector is not None:
             self.detector.leave(self.loop.time())
-            self._after()
+            self.flush()
 
     # ---- the socket ---------------------------------------------------------------------------
 
@@ -75,13 +75,14 @@
                 self.log("member-malformed", peer=str(addr), error=str(error))
             return
         self.detector.received(self.loop.time(), packet)
-        self._after()
+        self.flush()
 
     def error_received(self, exc: Exception) -> None:
         """A port where nobody listens: the probe will find that out by itself."""
         self.refused += 1
 
-    def _after(self) -> None:
+    def flush(self) -> None:
+        """Send what there is to send; to be called after whatever makes the detector speak."""
         assert self.detector is not None
         for to, packet in self.detector.drain():
             if self.transport is not None:
@@ -110,7 +111,7 @@
         try:
             self.detector.tick(self.loop.time())
         finally:
-            self._after()
+            self.flush()
 
     # ---- what is told -------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_locality.py
@@ -0,0 +1,438 @@
+"""Zones: shares that add up and never overfill, trust that falls at once and comes back late, one plan."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from saltcart.config import ConfigError
+from saltcart.deployment import read
+from saltcart.locality.instance import PLAN, ZONE, Locality
+from saltcart.locality.outliers import Outliers
+from saltcart.locality.plan import (
+    WHOLE,
+    Heard,
+    Plan,
+    Trust,
+    allocate,
+    encode,
+    follow,
+    propose,
+    read_plan,
+    row_of,
+)
+from saltcart.locality.reports import Collector, Report, Summary, firsts, read_report, read_summary
+from saltcart.locality.reports import encode as encode_report
+from saltcart.locality.settings import LocalitySettings, read_locality
+from saltcart.locality.sites import Backend, Sites
+from saltcart.member.record import Record
+from saltcart.settings import WireError
+from saltcart.wire.errors import Malformed
+
+CONF = LocalitySettings(upstream="work")
+
+
+def sites(capacity: float = 20.0) -> Sites:
+    """Two zones in one region and one in another, two members each."""
+    return Sites(Backend(f"{z}{m}", z, r, capacity) for z, r in (("a", "x"), ("b", "x"), ("c", "y"))
+                 for m in "12")
+
+
+A, B, C = range(3)
+
+
+def heard(demand: tuple[float, ...] = (20.0, 20.0, 20.0), ago: tuple[float, ...] = (0.1, 0.1, 0.1),
+          grades: Mapping[int, Mapping[int, float]] | None = None) -> dict[int, Heard]:
+    told = grades or {}
+    return {z: Heard(ago[z], Summary(z, 3, demand[z], dict(told.get(z, {})))) for z in range(3)}
+
+
+# ---- shares -----------------------------------------------------------------------------------
+
+
+THREE = st.lists(st.floats(0, 80), min_size=3, max_size=3)
+
+
+@given(THREE, THREE,
+       st.dictionaries(st.tuples(st.integers(0, 2), st.integers(0, 2)), st.floats(0, 1), max_size=6))
+def test_rows_add_up_and_no_zone_is_sent_more_than_it_has_room_for(
+        demand: list[float], room: list[float], trust: dict[tuple[int, int], float]) -> None:
+    rows = allocate(sites(), demand, room, trust)
+    for t in range(3):
+        inflow = sum(demand[o] * row_of(rows, o).get(t, 0) / WHOLE for o in range(3) if demand[o] > 1e-9)
+        assert inflow <= room[t] + 0.004 * sum(demand) + 1e-6  # whole thousandths
+    for row in rows.values():
+        assert 0 <= sum(row.values()) <= WHOLE and all(s > 0 for s in row.values())
+    if sum(room) >= sum(demand) + 1 and not trust:
+        assert all(sum(row.values()) >= WHOLE - 5 for row in rows.values())  # nothing refused without need
+
+
+@given(st.floats(1, 60), st.floats(0, 1), st.floats(0, 1))
+def test_the_better_a_zone_is_the_more_of_its_work_stays(demand: float, one: float, other: float) -> None:
+    low, high = sorted((one, other))
+
+    def home(health: float) -> int:
+        return row_of(allocate(sites(), [demand, 5.0, 5.0], [40 * health, 40.0, 40.0], {}), A).get(A, 0)
+
+    assert home(low) <= home(high)
+
+
+def test_work_goes_to_the_own_zone_then_the_own_region_then_elsewhere() -> None:
+    def row(demand: float) -> Mapping[int, int]:
+        return row_of(allocate(sites(), [demand, 10.0, 10.0], [30.0, 30.0, 30.0], {}), A)
+
+    assert row(30.0) == {A: WHOLE}
+    assert row(40.0) == {A: 750, B: 250}
+    assert row(60.0) == {A: 501, B: 333, C: 166}
+    assert sum(row(100.0).values()) == 700  # what no zone has room for is refused
+
+
+def test_a_zone_that_is_not_trusted_gets_nothing_from_who_does_not() -> None:
+    rows = allocate(sites(), [40.0, 10.0, 10.0], [0.0, 36.0, 36.0], {(A, B): 0.0})
+    assert rows[A] == {C: 650}
+
+
+# ---- trust ------------------------------------------------------------------------------------
+
+
+def test_trust_falls_at_once_and_comes_back_in_steps_after_health_has_lasted() -> None:
+    trust, now, seen = Trust(A, B), 1000.0, list[tuple[float, int]]()
+    trust = follow(CONF, trust, 0.0, now)
+    assert trust.share == 0
+    while trust.share < WHOLE and now < 1100:
+        now += 0.5
+        before, trust = trust.share, follow(CONF, trust, 1.0, now)
+        if trust.share != before:
+            seen.append((now - 1000.5, trust.share))
+    assert [share for _, share in seen] == [250, 500, 750, 1000]
+    assert seen[0][0] == pytest.approx(CONF.recover_for, abs=0.6)
+    assert seen[1][0] - seen[0][0] == pytest.approx(CONF.step_every, abs=0.6)
+
+
+def test_a_flapping_zone_is_not_trusted_again_while_it_flaps() -> None:
+    trust, rises = Trust(A, A), 0
+    for n in range(3600 * 2):
+        before = trust.share
+        trust = follow(CONF, trust, float(n // 4 % 2), 1000.0 + n / 2)  # two seconds well, two not
+        rises += trust.share > before
+    assert rises == 0 and trust.share == 0
+
+
+def test_each_fall_of_late_doubles_the_wait_and_one_long_ago_does_not() -> None:
+    def wait(falls: int) -> float:
+        trust = follow(CONF, Trust(A, B, 0, falls), 1.0, 1000.0)
+        return trust.next_at - 1000.0
+
+    assert [wait(n) / CONF.recover_for for n in (1, 2, 3)] == [1, 2, 4] and wait(30) == CONF.recover_most
+    well = follow(CONF, Trust(A, B, WHOLE, 2), 1.0, 1000.0)
+    assert well.falls == 2 and follow(CONF, well, 1.0, well.next_at) == Trust(A, B)
+
+
+def test_falls_within_a_short_time_are_one() -> None:
+    trust, now = Trust(A, B), 1000.0
+    for health in (0.8, 0.6, 0.3, 0.0):
+        now += 0.5
+        trust = follow(CONF, trust, health, now)
+    assert (trust.share, trust.falls) == (0, 1)
+
+
+# ---- plans ------------------------------------------------------------------------------------
+
+
+def test_the_same_is_made_of_the_same() -> None:
+    told = heard((30.0, 10.0, 10.0), grades={A: {A: 0.2}})
+    other = dict(reversed(told.items()))
+    plans = [propose(CONF, sites(), Plan(), one, 1000.0) for one in (told, other)]
+    assert plans[0] == plans[1] and plans[0] is not None and plans[0].rows
+
+
+def test_a_plan_stands_while_nothing_falls_and_nobody_is_too_full() -> None:
+    first = propose(CONF, sites(), Plan(), heard((30.0, 10.0, 10.0), grades={A: {A: 0.0}}), 1000.0)
+    assert first is not None and A not in first.rows[A]
+    for demand in (27.0, 33.0):  # chance
+        then = propose(CONF, sites(), first, heard((demand, 10.0, 10.0), grades={A: {A: 0.0}}), 1003.0)
+        assert then is None or then.rows == first.rows
+
+
+def test_a_fall_moves_work_at_once_and_recovery_waits() -> None:
+    plan = Plan(at=999.4)
+    fallen = propose(CONF, sites(), plan, heard(grades={B: {B: 0.0}}), 1000.0)
+    assert fallen is not None and fallen.rows.keys() == {B}
+    well = propose(CONF, sites(), fallen, heard(), 1001.0)
+    assert well is None or well.rows == fallen.rows
+
+
+def test_a_zone_that_fell_silent_gets_nothing_and_keeps_its_row() -> None:
+    """Split brain: each side goes on with its own zones and sends nothing to the other's."""
+    before = Plan(900.0, {C: {C: 700, A: 300}})
+    plan = propose(CONF, sites(), before, heard((60.0, 10.0, 10.0), ago=(0.1, 0.1, 9.0)), 1000.0)
+    assert plan is not None and plan.rows[C] == {C: 700, A: 300}
+    assert C not in plan.rows[A] and plan.refused(A) > 0
+
+
+def test_a_plan_is_read_as_it_was_written_and_what_is_none_is_malformed() -> None:
+    plan = Plan(1000.0, {A: {B: 400, C: 100}}, [Trust(A, A, 0, 1, 1015.0, 900, 1000.0)])
+    assert read_plan(encode(plan), 3) == plan and plan.refused(A) == 500 and plan.row(B) == {B: WHOLE}
+    for wrong in (b"", b"\x01", encode(Plan(rows={9: {A: 1}})), encode(Plan(rows={A: {A: 1001}})),
+                  encode(Plan(rows={A: {7: 1}})), encode(Plan(trust=[Trust(0, 9)]))):
+        with pytest.raises(Malformed):
+            read_plan(wrong, 3)
+
+
+def test_plans_of_nine_zones_in_trouble_fit_a_post() -> None:
+    nine = Sites(Backend(f"z{z}", f"z{z}", f"r{z // 3}", 20.0) for z in range(9))
+    told = {z: Heard(0.1, Summary(z, 9, 15.0, {0: 0.0, 1: 0.0, 2: 0.0})) for z in range(9)}
+    plan = propose(CONF, nine, Plan(), told, 1_796_000_000.0)
+    assert plan is not None and len(encode(plan)) <= 900
+
+
+# ---- members ----------------------------------------------------------------------------------
+
+
+def outliers() -> Outliers:
+    return Outliers(CONF, [("a1", "a2", "a3", "a4")])
+
+
+def test_failures_in_a_row_put_a_member_out_longer_each_time() -> None:
+    o, spans = outliers(), list[float]()
+    now = 0.0
+    for _ in range(3):
+        while now >= o.watched["a1"].out_until:
+            o.ended(now, "a1", False, 0.0)
+            now += 0.01
+        spans.append(o.watched["a1"].out_for)
+        now = o.watched["a1"].out_until
+    assert spans == [CONF.ejected_for, 2 * CONF.ejected_for, 4 * CONF.ejected_for]
+    assert "a1" not in o.able(now - 0.1, 0) and "a1" in o.able(now, 0)
+
+
+def test_a_good_end_on_trial_brings_it_back() -> None:
+    o = outliers()
+    for _ in range(CONF.consecutive):
+        o.ended(0.0, "a1", False, 0.0)
+    assert o.failing(1.0, "a1") and o.on_trial(1.0, 0, False) is None
+    assert o.on_trial(CONF.ejected_for, 0, False) == "a1"
+    o.ended(CONF.ejected_for, "a1", True, 0.05)
+    assert not o.failing(CONF.ejected_for, "a1")
+
+
+def test_refusals_tell_more_than_failures() -> None:
+    def needed(refused: bool) -> int:
+        o, n = outliers(), 0
+        while not o.failing(0.0, "a1"):
+            o.ended(0.0, "a1", False, 0.0, refused)
+            n += 1
+        return n
+
+    assert needed(True) == 3 and needed(False) == 5
+
+
+def test_no_more_than_half_are_out_and_in_panic_all_are_tried() -> None:
+    o = outliers()
+    for host in ("a1", "a2", "a3"):
+        for _ in range(CONF.consecutive):
+            o.ended(0.0, host, False, 0.0)
+    assert sorted(o.able(0.1, 0)) == ["a1", "a2", "a3", "a4"]  # a quarter is left: panic
+    o = outliers()
+    for host in ("a1", "a2"):
+        for _ in range(CONF.consecutive):
+            o.ended(0.0, host, False, 0.0)
+    assert o.able(0.1, 0) == ["a3", "a4"]
+
+
+def test_a_slow_member_counts_for_what_it_does() -> None:
+    o = outliers()
+    for n in range(100):
+        for host in ("a1", "a2", "a3", "a4"):
+            o.ended(n * 0.05, host, True, 0.5 if host < "a3" else 0.05)
+    grade, evidence = o.grade(5.0, 0)
+    assert grade == pytest.approx(0.55, abs=0.02) and evidence > 50
+
+
+def test_a_zone_that_fails_just_now_is_seen_before_its_members_are_out() -> None:
+    o = outliers()
+    for n in range(40):
+        o.ended(n * 0.05, f"a{n % 4 + 1}", True, 0.05)
+    for n in range(8):
+        o.ended(2.0 + n * 0.1, f"a{n % 4 + 1}", False, 0.0)
+    assert not any(o.failing(2.8, h) for h in o.watched) and o.grade(2.8, 0)[0] < 0.6
+
+
+# ---- instances that speak ---------------------------------------------------------------------
+
+
+class Town:
+    """Instances of all zones whose posts arrive at once, unless their zones are apart."""
+
+    def __init__(self, each: int = 2) -> None:
+        self.now, self.apart = 100.0, set[str]()
+        self.instances = dict[str, Locality]()
+        self.number = dict[str, int]()
+        self.posted = list[tuple[str, str, int, str, bytes]]()
+        for n in range(3 * each):
+            zone = "abc"[n % 3]
+            name = f"i{n}"
+            self.instances[name] = Locality(CONF, sites(), name, zone, random.Random(n),
+                                            Port(self, name, zone), lambda host: 1.0, self.now)
+
+    def hears(self, one: str, other: str) -> bool:
+        return (one in self.apart) == (other in self.apart)
+
+    def run(self, seconds: float, rate: float = 8.0) -> None:
+        """Each instance serves so many requests a second; ``dead`` members refuse."""
+        luck = random.Random(7)
+        for _ in range(int(seconds * 10)):
+            self.now += 0.1
+            for i in self.instances.values():
+                if luck.random() < rate / 10:
+                    i.arrived(self.now)
+                    tried = set[str]()
+                    while (host := i.choose(self.now, tried, True)) is not None and len(tried) < 3:
+                        tried.add(host)
+                        dead = host[0] in self.dead
+                        i.ended(self.now, host, not dead, 0.0 if dead else 0.05, dead)
+                        if not dead:
+                            break
+                i.tick(self.now, self.now)
+
+    dead = ""
+
+
+class Port:
+    def __init__(self, town: Town, name: str, zone: str) -> None:
+        self.town, self.name, self.zone = town, name, zone
+
+    def speakers(self) -> Mapping[str, str]:
+        return firsts(Record(n, "h:1", 1, zone=i.zone) for n, i in self.town.instances.items()
+                      if self.town.hears(self.zone, i.zone))
+
+    def post(self, topic: str, data: bytes) -> None:
+        town = self.town
+        number = max((i.number for i in town.instances.values() if town.hears(i.zone, self.zone)), default=0)
+        number = number + 1 if topic == PLAN else 1
+        for i in town.instances.values():
+            if town.hears(i.zone, self.zone):
+                i.posted(town.now, topic, number, self.name, data)
+
+    def give(self, name: str, topic: str, data: bytes) -> None:
+        sender = Record(self.name, "h:1", 1, zone=self.zone)
+        self.town.instances[name].given(self.town.now, sender, topic, data)
+
+
+def test_all_hold_one_plan_and_a_lost_zone_is_left_by_all_of_it() -> None:
+    town = Town()
+    town.run(5.0)
+    assert all(i.plan.row(i.own) == {i.own: WHOLE} for i in town.instances.values())
+    town.dead = "a"
+    town.run(5.0)
+    plans = {(i.number, i.by) for i in town.instances.values()}
+    assert len(plans) == 1
+    rows = {i.plan.row(A).get(A, 0) for i in town.instances.values()}
+    assert rows == {0}
+
+
+def test_it_comes_back_in_steps_when_the_zone_is_well() -> None:
+    town = Town()
+    town.dead = "a"
+    town.run(6.0)
+    town.dead = ""
+    town.run(10.0)
+    any_one = next(iter(town.instances.values()))
+    assert any_one.plan.row(A).get(A, 0) == 0  # health has not lasted yet
+    town.run(40.0)
+    assert any_one.plan.row(A) == {A: WHOLE}
+
+
+def test_two_sides_of_a_cut_keep_their_own_work_and_agree_afterwards() -> None:
+    town = Town()
+    town.run(5.0)
+    town.apart = {"a"}
+    town.run(10.0)
+    assert all(i.plan.row(i.own) == {i.own: WHOLE} for i in town.instances.values())
+    town.apart = set()
+    town.run(30.0)
+    assert len({i.number for i in town.instances.values()}) == 1
+
+
+def test_what_has_no_place_is_refused_at_once() -> None:
+    town = Town(1)
+    instance = town.instances["i0"]
+    instance.posted(town.now, PLAN, 1, "x", encode(Plan(0.0, {A: {A: 500}})))
+    drawn = [instance.choose(town.now, set(), False) for _ in range(1000)]
+    assert 400 < drawn.count(None) < 600 and instance.refused == drawn.count(None)
+
+
+def test_tries_in_zones_that_the_plan_does_not_name_are_few() -> None:
+    town = Town(1)
+    instance = town.instances["i0"]
+    instance.abroad = 0.0
+    for _ in range(40):
+        instance.arrived(town.now)
+    found = [instance.choose(town.now, {"a1", "a2"}, True) for _ in range(40)]
+    assert sum(host is not None for host in found) == 10
+
+
+def test_reports_and_sums_are_read_as_written_and_what_is_none_is_malformed() -> None:
+    report, summary = Report(3.5, {A: (0.5, 9.0)}), Summary(A, 2, 7.0, {B: 0.25})
+    assert read_report(encode_report(report)) == report and read_summary(encode_report(summary)) == summary
+    for reader in (read_report, read_summary):
+        with pytest.raises(Malformed):
+            reader(b"\xc1")
+    with pytest.raises(Malformed):
+        Town(1).instances["i0"].posted(1.0, ZONE + "a", 1, "x", b"\xc1")
+
+
+def test_a_sum_weighs_by_evidence_and_forgets_the_stale() -> None:
+    collector = Collector(A, 4.0)
+    collector.take(0.0, "gone", Report(100.0, {A: (0.0, 1000.0)}))
+    collector.take(5.0, "one", Report(3.0, {A: (1.0, 30.0), B: (0.0, 1.0)}))
+    collector.take(5.0, "two", Report(4.0, {A: (0.0, 10.0)}))
+    summary = collector.summary(5.5)
+    assert (summary.instances, summary.demand, summary.grades) == (2, 7.0, {A: 0.75})
+
+
+# ---- settings ---------------------------------------------------------------------------------
+
+
+MEMBER = {"listen": "127.0.0.1:0", "cluster": "c", "zone": "a"}
+UPSTREAM = {"name": "work", "members": [
+    {"host": "127.0.0.1:1", "zone": "a", "region": "x", "capacity": 5},
+    {"host": "127.0.0.1:2", "zone": "b", "region": "x", "capacity": 5}]}
+
+
+def deployment(**more: object) -> dict[str, object]:
+    return {"member": MEMBER, "upstream": [UPSTREAM], "locality": {"upstream": "work"}, **more}
+
+
+def test_it_is_off_without_its_table() -> None:
+    assert read({"member": MEMBER, "upstream": [UPSTREAM]}).locality is None
+    assert read(deployment(locality={"upstream": "work", "enabled": False})).locality is None
+    assert read(deployment()).locality == CONF
+
+
+@pytest.mark.parametrize(("more", "reason"), [
+    ({"locality": {"upstream": "work", "hold": 0}}, "locality.hold"),
+    ({"locality": {"upstream": "work", "holds": 1}}, "holds"),
+    ({"locality": {"upstream": "other"}}, "locality.upstream: no such upstream"),
+    ({"locality": {}}, "upstream"),
+    ({"member": {**MEMBER, "enabled": False}}, r"through \[member\]"),
+    ({"member": {**MEMBER, "zone": "z"}}, "member.zone"),
+    ({"upstream": [{"name": "work", "members": [{"host": "127.0.0.1:1", "zone": "a"}]}]},
+     "a zone and a capacity"),
+    ({"upstream": [{"name": "work", "members": [
+        {"host": "127.0.0.1:1", "zone": "a", "region": "x", "capacity": 1},
+        {"host": "127.0.0.1:2", "zone": "a", "region": "y", "capacity": 1}]}]}, "in two regions"),
+    ({"locality": {"upstream": "work", "recover_most": 1.0}}, "locality.recover_most"),
+    ({"locality": {"upstream": "work", "stale": 0.6}}, "locality.stale")])
+def test_what_cannot_stand_is_told_with_field_and_reason(more: dict[str, object], reason: str) -> None:
+    with pytest.raises(ConfigError, match=reason):
+        read(deployment(**more))
+
+
+def test_a_table_out_of_range_names_its_field() -> None:
+    with pytest.raises(WireError, match=r"locality\.limit"):
+        read_locality({"upstream": "u", "limit": 2.0})
