Fleet: instances share out an upstream's members in classes, its limit, and their turns

Change: saltcart/fleet decides: classes of equal size for members and for instances, kept as tables on the board and followed with the fewest moves; each instance's share of its class's limit by the demand that all have told, without leases, decaying to an equal part; turns by the golden ratio of one's place among those present; the less loaded of two members of the subset. net/evenly.py ties it to the AJP upstream named in [fleet]; boarded.py has what it shares with the zones. lab/subsets.py is the model with four other ways, lab/faults/subsets.py the play with twelve processes. Off without its table, and not loaded.

--- a/saltcart/admin/api.py
+++ b/saltcart/admin/api.py
@@ -11,6 +11,7 @@
     GET /v1/storm                           retries, who amplifies, what callers are told
     GET /v1/members                         the fleet as this process sees it
     GET /v1/locality                        zones, their trust, and where work goes
+    GET /v1/fleet                           this process's subset of members, and its share of their limit
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 
 if TYPE_CHECKING:
     from saltcart.net.composer import Composer
+    from saltcart.net.evenly import Evenly
     from saltcart.net.gossip import Gossip
     from saltcart.net.nearby import Nearby
     from saltcart.storm.damper import Damper
@@ -49,13 +51,15 @@
     def __init__(self, service: Service, registry: Registry, token: str,
                  composer: Composer | None = None,
                  damper: Callable[[], Damper | None] = lambda: None, gossip: Gossip | None = None,
-                 nearby: Nearby | None = None) -> None:
+                 nearby: Nearby | None = None, evenly: Evenly | None = None) -> None:
         self.service, self.registry, self.token = service, registry, token.encode()
-        self.composer, self.damper, self.gossip, self.nearby = composer, damper, gossip, nearby
+        self.composer, self.damper, self.gossip = composer, damper, gossip
+        self.nearby, self.evenly = nearby, evenly
         self.routes: dict[str, dict[str, Callable[..., Reply]]] = {
             "state": {"GET": self.state}, "counts": {"GET": self.counts},
             "dependencies": {"GET": self.dependencies}, "storm": {"GET": self.storm},
             "members": {"GET": self.members}, "locality": {"GET": self.locality},
+            "fleet": {"GET": self.fleet},
             "shares": {"GET": self.shares, "PUT": self.put_shares},
             "tenants": {"GET": self.tenants, "POST": self.post_tenant},
             "upstreams": {"GET": self.upstreams, "POST": self.post_upstream},
@@ -131,6 +135,9 @@
     def locality(self) -> Reply:
         return 200, {} if self.nearby is None else self.nearby.state()
 
+    def fleet(self) -> Reply:
+        return 200, {} if self.evenly is None else self.evenly.state()
+
     # ---- tenants and shares -------------------------------------------------------------------
 
     def _tenant(self, name: str) -> dict[str, Any]:
--- a/saltcart/admin/registry.py
+++ b/saltcart/admin/registry.py
@@ -38,7 +38,7 @@
         self.forget: Callable[[str], None] = lambda tenant: None  # told of a tenant that is gone
         plans = deployment.plans
         # An upstream whose work is spread over zones: those are agreed on by all instances, from the start.
-        self.zoned = None if deployment.locality is None else deployment.locality.upstream
+        self.zoned = {t.upstream for t in (deployment.locality, deployment.fleet) if t is not None}
         self.planned = set() if plans is None else {d.upstream for d in plans.dependency}  # not to be removed
         if path is not None and path.exists():
             self._restore(path)
@@ -76,8 +76,9 @@
     def _change(self, tenants: list[TenantConf], upstreams: list[UpstreamConf]) -> None:
         if gone := self.planned - {None} - {u.name for u in upstreams}:
             raise WireError(f"upstream {min(map(str, gone))}: plans need it")
-        if self.zoned in self.upstreams and self.upstreams[self.zoned] not in upstreams:
-            raise WireError(f"upstream {self.zoned}: its zones are agreed on at the start of all")
+        for name in self.zoned & self.upstreams.keys():
+            if self.upstreams[name] not in upstreams:
+                raise WireError(f"upstream {name}: all instances agree on its members, from their start")
         check(tuple(upstreams), tuple(tenants))  # a change that can't stand leaves all as it was
         before, self.upstreams = self.upstreams, {u.name: u for u in upstreams}
         left, self.tenants = self.tenants.keys() - {t.name for t in tenants}, {t.name: t for t in tenants}
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -34,6 +34,7 @@
     from saltcart.budget.plan import Plans
     from saltcart.member.settings import MemberSettings
     from saltcart.net.composer import Composer
+    from saltcart.net.evenly import Evenly
     from saltcart.net.gossip import Gossip
     from saltcart.net.nearby import Nearby
     from saltcart.storm.damper import Damper
@@ -89,6 +90,7 @@
         self.damper: Damper | None = None
         self.gossip: Gossip | None = None
         self.nearby: Nearby | None = None
+        self.evenly: Evenly | None = None
         self.runs: Runs | None = None  # set before the start: in the place of a pool or upstreams
         self.ticker: Ticker | None = None
 
@@ -140,7 +142,7 @@
             if self.composer is not None:
                 registry.forget = self.composer.desk.last_good.forget
             api = Api(service, registry, admin.token, self.composer, lambda: self.damper, self.gossip,
-                      self.nearby)
+                      self.nearby, self.evenly)
             await self._listen("admin", Listener(
                 admin.listen, lambda owner: AdminConnection(owner, api), lambda: ADMIN_IDLE,
                 ADMIN_CONNECTIONS, shared=self.succession is not None))
@@ -167,15 +169,22 @@
         self.addresses["member"] = await self.gossip.open()
         self.service.figures.append(self.gossip.figures)
         self.log("listening", name=self.conf.name, front="member", address=self.addresses["member"])
-        locality, upstreams = self.deployment.locality, self.upstreams
-        if locality is None or upstreams is None:
+        locality, fleet, upstreams = self.deployment.locality, self.deployment.fleet, self.upstreams
+        if upstreams is None:
             return
-        from saltcart.net.nearby import Nearby
+        known, seed = {u.name: u for u in self.deployment.upstreams}, self.conf.seed
+        if locality is not None:
+            from saltcart.net.nearby import Nearby
 
-        upstream = next(u for u in self.deployment.upstreams if u.name == locality.upstream)
-        self.nearby = Nearby(locality, upstream, self.gossip, upstreams.by_name[upstream.name],
-                             self.conf.seed + 1, self.log)
-        self.service.figures.append(self.nearby.locality.figures)
+            self.nearby = Nearby(locality, known[locality.upstream], self.gossip,
+                                 upstreams.by_name[locality.upstream], seed + 1, self.log)
+            self.service.figures.append(self.nearby.locality.figures)
+        if fleet is not None:
+            from saltcart.net.evenly import Evenly
+
+            self.evenly = Evenly(fleet, known[fleet.upstream], self.gossip,
+                                 upstreams.by_name[fleet.upstream], seed + 2, self.log)
+            self.service.figures.append(self.evenly.together.figures)
 
     def _compose(self, plans: Plans, upstreams: Upstreams) -> None:
         """Answers of the plans' classes are made of several dependencies' replies."""
@@ -249,7 +258,7 @@
             self.succession.close()
         for listener in self.listeners:
             listener.close()
-        for part in (self.nearby, self.pool, self.index, self.announcer, self.gossip):
+        for part in (self.nearby, self.evenly, self.pool, self.index, self.announcer, self.gossip):
             if part is not None:
                 part.close()
         if self.composer is not None:
--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from saltcart.budget.plan import Plans
+    from saltcart.fleet.settings import FleetSettings
     from saltcart.locality.settings import LocalitySettings
     from saltcart.member.settings import MemberSettings
     from saltcart.storm.settings import StormSettings
@@ -78,6 +79,7 @@
     storm: StormSettings | None = None  # how retry storms are damped
     member: MemberSettings | None = None  # how the fleet's processes keep a view of each other
     locality: LocalitySettings | None = None  # how an upstream's work is spread over zones
+    fleet: FleetSettings | None = None  # how an upstream's members are shared out among the instances
 
 
 def name(f: Fields, key: str = "name") -> str:
@@ -150,10 +152,21 @@
             raise WireError(f"upstream {upstream.name}: zone {m.zone} is in two regions")
 
 
+def check_fleet(fleet: FleetSettings, member: MemberSettings | None, upstreams: tuple[UpstreamConf, ...],
+                locality: LocalitySettings | None) -> None:
+    """The same of members that are shared out."""
+    if member is None:
+        raise WireError("fleet: members are shared out through [member], which is not there or off")
+    if fleet.upstream not in {u.name for u in upstreams}:
+        raise WireError(f"fleet.upstream: no such upstream: {fleet.upstream}")
+    if locality is not None and locality.upstream == fleet.upstream:
+        raise WireError(f"fleet.upstream: the work of {fleet.upstream} is spread over zones already")
+
+
 def read(raw: Any) -> Deployment:
     try:
         f = only(Fields(raw, "deployment"), "ajp", "admin", "upstream", "tenant", "storm", "member",
-                 "locality", *PLANS)
+                 "locality", "fleet", *PLANS)
         ajp = admin = None
         if "ajp" in f.raw:
             a = only(f.part("ajp"), "enabled", "listen", "secret")
@@ -196,8 +209,15 @@
             locality = read_locality(f.part("locality").raw)
             check_locality(locality, member, upstreams)
             locality = locality if locality.enabled else None
+        fleet = None
+        if "fleet" in f.raw:
+            from saltcart.fleet.settings import read_fleet
+
+            fleet = read_fleet(f.part("fleet").raw)
+            check_fleet(fleet, member, upstreams, locality)
+            fleet = fleet if fleet.enabled else None
         return Deployment(ajp, admin, upstreams, tenants, plans,
-                          storm if storm is not None and storm.enabled else None, member, locality)
+                          storm if storm is not None and storm.enabled else None, member, locality, fleet)
     except WireError as error:
         raise ConfigError(str(error)) from None
 
--- a/saltcart/lab/experiments.py
+++ b/saltcart/lab/experiments.py
@@ -81,6 +81,13 @@
     return told(rows, figures)
 
 
+def subsets(choice: Choice) -> dict[str, Any]:
+    """Who connects to whom, as hundreds of instances and upstreams come and go; shared limits; turns."""
+    from saltcart.lab import subsets as experiment
+
+    return told(*experiment.run(choice.quick, choice.seed))
+
+
 def views(choice: Choice) -> dict[str, Any]:
     """Membership's data structures beside plain ones: bytes and time."""
     from saltcart.lab import views as experiment
@@ -118,5 +125,5 @@
 
 EXPERIMENTS: dict[str, Callable[[Choice], dict[str, Any]]] = {
     "budgets": budgets, "storm": storm, "members": members, "views": views,
-    "zones": zones,
+    "zones": zones, "subsets": subsets,
     "ablations": ablations, "sketch": sketch, "filters": filters, "clock": clock}
--- /dev/null
+++ b/saltcart/lab/faults/subsets.py
@@ -0,0 +1,153 @@
+"""Subsets in the rig: processes that come, go, restart and are cut in two, and who connects to whom.
+
+The members are stand-ins that count what they are asked; callers ask for half as much again as all members
+together are said to do, so that the shared limit binds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from contextlib import AsyncExitStack, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from saltcart.lab.faults.links import Links, Relay, Rule
+from saltcart.lab.faults.members import CLASSES, LOOK
+from saltcart.lab.faults.programs import TOKEN, Program, call, fleet, settings, start_all
+from saltcart.lab.standins import Act, AjpStandIn, Asked
+
+INSTANCES, MEMBERS, FIRST, GROUPS = 12, 8, 10, 2
+CAPACITY = 12.0  # requests a second of one member, as the deployment says
+OVER = 1.5  # what is asked for, of all capacity
+LIMIT_S = 8.0  # seconds for which it is
+SETTLE, STILL = 25.0, 20  # seconds at most, and looks in a row without a change
+
+
+States = dict[str, dict[str, Any]]  # what each process shows of its subset
+
+
+@dataclass
+class Told:
+    """``steps``: what came of each change, in order: most over least clients, and connections made anew."""
+
+    steps: list[tuple[str, float, int, float]] = field(default_factory=list)
+    settled: bool = True
+    overshoot: float = 0.0  # of the limit, in the worst second
+    used: float = 0.0  # of the limit, over all of it
+
+
+class Rig:
+    def __init__(self, seed: int) -> None:
+        self.seed, self.luck, self.told = seed, random.Random(seed), Told()
+        self.links = Links(INSTANCES, seed)
+        self.relay = Relay(self.links)
+        self.came = Counter[int]()  # requests at members, by second
+        self.stand_ins: list[AjpStandIn] = []
+        self.programs: list[Program] = []
+
+    def script(self, asked: Asked) -> Act:
+        self.came[int(time.time())] += 1
+        return Act("ok", 0.01)
+
+    def make(self, number: int, folder: Path) -> Program:
+        members = [{"host": s.address, "capacity": CAPACITY} for s in self.stand_ins]
+        return Program(f"s{number:02}", folder, {
+            "listen": "127.0.0.1:0", "seed": f"{number + 3:x}", "settings": settings(CLASSES, 8),
+            "limits": {"sockets": 512}}, {
+            "admin": {"listen": "127.0.0.1:0", "token": TOKEN},
+            "member": {"listen": "127.0.0.1:0", "cluster": "subsets",
+                       "advertise": self.relay.addresses[number], "seeds": self.relay.addresses[:3]},
+            "upstream": [{"name": "work", "members": members}],
+            "fleet": {"upstream": "work", "classes": GROUPS},
+            "tenant": [{"name": "rig", "share": 1.0, "quota": 10_000.0}]})
+
+    async def start(self, numbers: range) -> None:
+        await start_all([self.programs[n] for n in numbers])
+        for n in numbers:
+            self.relay.know(n, self.programs[n].addresses["member"])
+
+    async def states(self) -> States:
+        up = [p for p in self.programs if p.up and p.addresses]
+        seen = await asyncio.gather(*(p.admin("/v1/fleet") for p in up))
+        return {p.name: s for p, s in zip(up, seen) if s is not None}
+
+    async def step(self, name: str, before: States, best: int) -> States:
+        """Wait until nobody's subset changes any more; ``best``: connections that any way makes anew."""
+        begun, same = time.time(), 0
+        states = await self.states()
+        while time.time() - begun < SETTLE and same < STILL:
+            await asyncio.sleep(LOOK)
+            last, states = states, await self.states()
+            still = {n: s["subset"] for n, s in last.items()} == {n: s["subset"] for n, s in states.items()}
+            same = same + 1 if still else 0
+        self.told.settled &= same >= STILL
+        counts = Counter(h for s in states.values() for h in s["subset"])
+        spread = max(counts.values()) / max(1, min(counts[s.address] for s in self.stand_ins))
+        anew = sum(len(set(s["subset"]) - set(before[n]["subset"] if n in before else ()))
+                   for n, s in states.items())
+        self.told.steps.append((name, round(spread, 3), anew, round(anew / max(1, best), 2)))
+        return states
+
+    async def run(self) -> Told:
+        each = MEMBERS // GROUPS
+        await self.relay.open()
+        try:
+            async with AsyncExitStack() as stack:
+                for _ in range(MEMBERS):
+                    self.stand_ins.append(await stack.enter_async_context(AjpStandIn(self.script)))
+                self.programs = await stack.enter_async_context(fleet(INSTANCES, self.make))
+                await self.start(range(FIRST))
+                states = await self.step("start", {}, FIRST * each)
+                await self.limit()
+                await self.start(range(FIRST, INSTANCES))
+                states = await self.step("two join", states, 2 * each)
+                for n in (0, 3):  # the first by name follows the tables: the next goes on with them
+                    self.programs[n].kill()
+                left = Counter(s["class"] for n, s in states.items() if n not in ("s00", "s03"))
+                apart = max(left.values()) - min(left.values())
+                states = await self.step("two die", states, each * (apart // 2))
+                for n in range(1, INSTANCES, 2):
+                    if n != 3:
+                        await self.programs[n].restart()
+                states = await self.step("half restart", states, 0)
+                self.links.between(Rule(cut=True), list(range(0, INSTANCES, 2)))
+                await asyncio.sleep(8.0)
+                self.links.clear()
+                await self.step("halves meet again", states, 0)
+        finally:
+            self.relay.close()
+        return self.told
+
+    async def limit(self) -> None:
+        """More is asked for than all members are said to do, and unevenly: the first asks most."""
+        whole, begun = CAPACITY * MEMBERS, time.time()
+        weights = [3.0, *([1.0] * (FIRST - 1))]
+
+        async def one(at: float, number: int, instance: int) -> None:
+            await asyncio.sleep(max(0.0, begun + at - time.time()))
+            data = (f"POST /call/read HTTP/1.1\r\nHost: lab\r\nRequest-Id: {number:016x}\r\n"
+                    f"Account: rig\r\nReceived-At: {time.time() * 1000:.0f}\r\nBudget-Ms: 2000\r\n"
+                    f"Footprint-Kb: 5\r\nPriority-Rank: 0.5\r\nContent-Length: 1\r\n"
+                    f"Connection: close\r\n\r\nx").encode()
+            with suppress(OSError, TimeoutError):
+                await call(self.programs[instance].addresses["http"], data, 3.0)
+
+        async with asyncio.TaskGroup() as group:
+            at, number = 0.0, 0
+            while (at := at + self.luck.expovariate(OVER * whole)) < LIMIT_S:
+                number += 1
+                group.create_task(one(at, number, self.luck.choices(range(FIRST), weights)[0]))
+        seconds = range(int(begun) + 4, int(begun + LIMIT_S))  # once all have told what they are asked for
+        self.told.overshoot = max(self.came[s] for s in seconds) / whole - 1
+        self.told.used = sum(self.came[s] for s in seconds) / whole / len(seconds)
+
+
+def play(seed: int) -> Told:
+    async def run() -> Told:
+        return await Rig(seed).run()
+
+    return asyncio.run(run())
--- a/saltcart/net/ajp.py
+++ b/saltcart/net/ajp.py
@@ -82,7 +82,8 @@
 class Chooser(Protocol):
     """Who decides on the member, where it is not just the one with the least to do."""
 
-    def arrived(self) -> None: ...
+    def arrived(self) -> bool:
+        """A request has come; whether it is to be placed at all."""
     def choose(self, tried: set[str], safe: bool) -> str | None: ...
     def ended(self, host: str, good: bool, took: float, refused: bool) -> None: ...
 
@@ -157,8 +158,8 @@
                            until: float) -> tuple[Outcome, bytes]:
         tried, repeats = set[Member](), 0 if once else 1
         loop, chooser = asyncio.get_running_loop(), self.chooser
-        if chooser is not None:
-            chooser.arrived()
+        if chooser is not None and not chooser.arrived():
+            return Outcome.MOOT, b""
         while (member := self._choose(tried, once)) is not None:
             tried.add(member)
             sent, good, refused = loop.time(), False, False
--- /dev/null
+++ b/saltcart/net/evenly.py
@@ -0,0 +1,58 @@
+"""Ties the choices that must add up to membership, the upstream's connections and the clock."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+from saltcart.core.ports import Log
+from saltcart.deployment import UpstreamConf
+from saltcart.fleet.instance import Together
+from saltcart.fleet.settings import FleetSettings
+from saltcart.net.ajp import AjpUpstream
+from saltcart.net.boarded import Boarded
+from saltcart.net.gossip import Gossip
+
+
+class Evenly(Boarded):
+    """The chooser of one upstream whose members are shared out among the instances."""
+
+    def __init__(self, conf: FleetSettings, upstream: UpstreamConf, gossip: Gossip, runs: AjpUpstream,
+                 seed: int, log: Log) -> None:
+        super().__init__(gossip, log)
+        self.runs = runs
+        self.names, self.names_at = list[str](), -1
+        self.together = Together(conf, {m.host: m.capacity for m in upstream.members}, gossip.name,
+                                 random.Random(seed), self, self._load, self.loop.time())
+        self.given = self.together.given  # type: ignore[method-assign]
+        runs.chooser = self
+
+    def tick(self, now: float) -> None:
+        self.together.tick(now)
+
+    def heard(self, now: float, topic: str, number: int, by: str, data: bytes) -> None:
+        self.together.posted(now, topic, data)
+
+    def _load(self, host: str) -> float:
+        member = self.runs.by_host[host]
+        return (member.open + 1) / member.weight
+
+    def present(self) -> Sequence[str]:
+        if self.names_at != self.detector.view.version:
+            self.names_at = self.detector.view.version
+            self.names = sorted(r.name for r in self.detector.view if r.present)
+        return self.names
+
+    # ---- the upstream's chooser ---------------------------------------------------------------
+
+    def arrived(self) -> bool:
+        return self.together.arrived(self.loop.time())
+
+    def choose(self, tried: set[str], safe: bool) -> str | None:
+        return self.together.choose(tried)
+
+    def ended(self, host: str, good: bool, took: float, refused: bool) -> None:
+        """Members that fail are no concern of these choices: others of the subset are tried."""
+
+    def state(self) -> dict[str, object]:
+        return self.together.state(self.loop.time())
--- a/saltcart/net/gossip.py
+++ b/saltcart/net/gossip.py
@@ -5,10 +5,11 @@
 import asyncio
 import random
 import time
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from saltcart.core.ports import Log
 from saltcart.member import messages
+from saltcart.member.board import Post
 from saltcart.member.detector import Detector
 from saltcart.member.record import Record, State
 from saltcart.member.settings import MemberSettings
@@ -16,6 +17,9 @@
 from saltcart.net.base import address
 from saltcart.wire.errors import Malformed
 
+if TYPE_CHECKING:
+    from saltcart.net.boarded import Boarded
+
 MOST_DATAGRAM = 4096  # longer ones are none of ours
 TAKEN = 50  # refusals of the network that are logged, at most
 
@@ -31,6 +35,7 @@
         self.detector: Detector | None = None
         self.handle: asyncio.TimerHandle | None = None
         self.malformed = self.refused = 0
+        self.listeners: list[Boarded] = []  # parts of the program that speak over the board
 
     async def open(self) -> str:
         """Listen and join; returns the address."""
@@ -41,6 +46,7 @@
         self.detector = Detector(self.conf, self.name, self.conf.advertise or at, self.rng, self.loop.time(),
                                  int(time.time() * 1000))
         self.detector.changed, self.detector.name_taken = self._changed, self._name_taken
+        self.detector.given, self.detector.board.changed = self._given, self._posted
         self._arm()
         return at
 
@@ -113,6 +119,14 @@
         finally:
             self.flush()
 
+    def _given(self, sender: Record, topic: str, data: bytes) -> None:
+        for listener in self.listeners:
+            listener.on_given(sender, topic, data)
+
+    def _posted(self, post: Post) -> None:
+        for listener in self.listeners:
+            listener.on_post(post)
+
     # ---- what is told -------------------------------------------------------------------------
 
     def _changed(self, change: Change) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,8 +21,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-TOOLS = ("click", "hdrh", "matplotlib", "msgspec", "numpy", "saltcart.budget", "saltcart.lab",
-         "saltcart.locality", "saltcart.member", "saltcart.storm", "simpy", "xxhash")
+TOOLS = ("click", "hdrh", "matplotlib", "msgspec", "numpy", "saltcart.budget", "saltcart.fleet",
+         "saltcart.lab", "saltcart.locality", "saltcart.member", "saltcart.storm", "simpy", "xxhash")
 
 
 def held_sockets(pid: int) -> set[str]:
