--- a/saltcart/locality/instance.py
+++ b/saltcart/locality/instance.py
@@ -20,6 +20,7 @@
 
 PLAN, ZONE, REPORT = "locality/plan", "locality/zone/", "locality/report"
 HALF_LIFE = 6.0  # seconds: of the demand that is told
+SHORTEST = 1.0  # seconds: over less than that a rate is chance
 LN2 = 0.6931471805599453
 ABROAD = 0.25  # tries in other zones than planned, for each request: more would be a herd of its own
 SAVED = 50.0  # of those that may be saved up
@@ -35,18 +36,28 @@
 
 
 class Demand:
-    """Requests a second of late."""
+    """Requests a second of late.
+
+    What has been counted for a short time only is counted for what it would come to: else an instance that
+    has just started says too little, and its zone's work is moved to one that has no room for it.
+    """
 
     def __init__(self) -> None:
         self.level, self.at = 0.0, 0.0
+        self.begun: float | None = None
 
     def add(self, now: float) -> None:
+        if self.begun is None:
+            self.begun = self.at = now
         self._fade(now)
         self.level += 1
 
     def rate(self, now: float) -> float:
+        if self.begun is None:
+            return 0.0
         self._fade(now)
-        return self.level * LN2 / HALF_LIFE
+        seen = 1 - 0.5 ** (max(SHORTEST, now - self.begun) / HALF_LIFE)
+        return float(self.level * LN2 / HALF_LIFE / seen)
 
     def _fade(self, now: float) -> None:
         if now > self.at:
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -11,7 +11,7 @@
 
 from saltcart.config import ConfigError
 from saltcart.deployment import read
-from saltcart.locality.instance import PLAN, ZONE, Locality
+from saltcart.locality.instance import PLAN, ZONE, Demand, Locality
 from saltcart.locality.outliers import Outliers
 from saltcart.locality.plan import (
     WHOLE,
@@ -262,6 +262,16 @@
     assert not any(o.failing(2.8, h) for h in o.watched) and o.grade(2.8, 0)[0] < 0.6
 
 
+def test_demand_is_told_rightly_from_the_start() -> None:
+    demand = Demand()
+    assert demand.rate(5.0) == 0.0
+    for n in range(1, 401):  # ten a second
+        demand.add(100.0 + n / 10)
+        if n >= 20:
+            assert demand.rate(100.0 + n / 10) == pytest.approx(10.0, rel=0.08)
+    assert demand.rate(146.0) == pytest.approx(5.0, rel=0.1)  # six seconds later: the half
+
+
 # ---- instances that speak ---------------------------------------------------------------------
 
 
