--- a/saltcart/lab/subsets.py
+++ b/saltcart/lab/subsets.py
@@ -19,6 +19,7 @@
 from saltcart.fleet.turns import Retry, next_turn
 from saltcart.lab.faults import subsets as rig
 
+SUBSET = 25  # members of an instance in the large fleets: with fewer, classes differ more in demand
 Links = dict[str, frozenset[str]]  # by instance: its upstreams
 
 
@@ -244,7 +245,7 @@
     luck, worst = random.Random(seed), dict[str, list[float]]()
     rows = [["day", "way", "spread", "churn", "ms"]]
     for name, states in steps(quick, luck):
-        classes = 2 if name == "grow and shrink" else max(2, len(states[0].upstreams) // 20)
+        classes = 2 if name == "grow and shrink" else max(2, len(states[0].upstreams) // SUBSET)
         for way, kind in WAYS.items():
             spread, churn, slow = play(kind(classes, seed), states)
             rows.append([name, way, f"{spread:.3f}", f"{churn:.2f}", f"{slow:.1f}"])
@@ -256,7 +257,7 @@
         figures |= {f"spread{key}": round(min(spread, 1e6), 3), f"churn{key}": round(churn, 2)}
     state = steps(quick, random.Random(seed))[1][1][0]
     for way, kind in WAYS.items():
-        links = kind(max(2, len(state.upstreams) // 20), seed).links(state)
+        links = kind(max(2, len(state.upstreams) // SUBSET), seed).links(state)
         spans = [loads(links, state, seed, choice, slow)
                  for choice in ("two", "any") for slow in (False, True)]
         rows.append(["load, even and with one slow", way, *(f"{s:.3f}" for s in spans[:2]), ""])
