Check: processes leave a lost zone, and members keep even clients when one is killed

Need: zones and subsets were played with processes in the laboratory alone, not in the one test command. Change: the rigs of both can be opened with fewer processes; one test each in tests/test_faults.py: six processes whose first zone's members vanish come to one plan that leaves it and keeps the others' work at home; four share eight members evenly, also when the one that follows the tables is killed and when it is back.

--- a/saltcart/lab/faults/subsets.py
+++ b/saltcart/lab/faults/subsets.py
@@ -10,7 +10,8 @@
 import random
 import time
 from collections import Counter
-from contextlib import AsyncExitStack, suppress
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -41,9 +42,9 @@
 
 
 class Rig:
-    def __init__(self, seed: int) -> None:
-        self.seed, self.luck, self.told = seed, random.Random(seed), Told()
-        self.links = Links(INSTANCES, seed)
+    def __init__(self, seed: int, instances: int = INSTANCES) -> None:
+        self.seed, self.luck, self.told, self.instances = seed, random.Random(seed), Told(), instances
+        self.links = Links(instances, seed)
         self.relay = Relay(self.links)
         self.came = Counter[int]()  # requests at members, by second
         self.stand_ins: list[AjpStandIn] = []
@@ -85,41 +86,52 @@
             still = {n: s["subset"] for n, s in last.items()} == {n: s["subset"] for n, s in states.items()}
             same = same + 1 if still else 0
         self.told.settled &= same >= STILL
-        counts = Counter(h for s in states.values() for h in s["subset"])
-        spread = max(counts.values()) / max(1, min(counts[s.address] for s in self.stand_ins))
+        counts = self.clients(states)
+        spread = max(counts) / max(1, min(counts))
         anew = sum(len(set(s["subset"]) - set(before[n]["subset"] if n in before else ()))
                    for n, s in states.items())
         self.told.steps.append((name, round(spread, 3), anew, round(anew / max(1, best), 2)))
         return states
 
-    async def run(self) -> Told:
-        each = MEMBERS // GROUPS
+    def clients(self, states: States) -> list[int]:
+        """How many processes each member has."""
+        counts = Counter(h for s in states.values() for h in s["subset"])
+        return [counts[s.address] for s in self.stand_ins]
+
+    @asynccontextmanager
+    async def opened(self) -> AsyncIterator[None]:
+        """The relay, the members and the processes, which are made and not yet started."""
         await self.relay.open()
         try:
             async with AsyncExitStack() as stack:
                 for _ in range(MEMBERS):
                     self.stand_ins.append(await stack.enter_async_context(AjpStandIn(self.script)))
-                self.programs = await stack.enter_async_context(fleet(INSTANCES, self.make))
-                await self.start(range(FIRST))
-                states = await self.step("start", {}, FIRST * each)
-                await self.limit()
-                await self.start(range(FIRST, INSTANCES))
-                states = await self.step("two join", states, 2 * each)
-                for n in (0, 3):  # the first by name follows the tables: the next goes on with them
-                    self.programs[n].kill()
-                left = Counter(s["class"] for n, s in states.items() if n not in ("s00", "s03"))
-                apart = max(left.values()) - min(left.values())
-                states = await self.step("two die", states, each * (apart // 2))
-                for n in range(1, INSTANCES, 2):
-                    if n != 3:
-                        await self.programs[n].restart()
-                states = await self.step("half restart", states, 0)
-                self.links.between(Rule(cut=True), list(range(0, INSTANCES, 2)))
-                await asyncio.sleep(8.0)
-                self.links.clear()
-                await self.step("halves meet again", states, 0)
+                self.programs = await stack.enter_async_context(fleet(self.instances, self.make))
+                yield
         finally:
             self.relay.close()
+
+    async def run(self) -> Told:
+        each = MEMBERS // GROUPS
+        async with self.opened():
+            await self.start(range(FIRST))
+            states = await self.step("start", {}, FIRST * each)
+            await self.limit()
+            await self.start(range(FIRST, INSTANCES))
+            states = await self.step("two join", states, 2 * each)
+            for n in (0, 3):  # the first by name follows the tables: the next goes on with them
+                self.programs[n].kill()
+            left = Counter(s["class"] for n, s in states.items() if n not in ("s00", "s03"))
+            apart = max(left.values()) - min(left.values())
+            states = await self.step("two die", states, each * (apart // 2))
+            for n in range(1, INSTANCES, 2):
+                if n != 3:
+                    await self.programs[n].restart()
+            states = await self.step("half restart", states, 0)
+            self.links.between(Rule(cut=True), list(range(0, INSTANCES, 2)))
+            await asyncio.sleep(8.0)
+            self.links.clear()
+            await self.step("halves meet again", states, 0)
         return self.told
 
     async def limit(self) -> None:
--- a/saltcart/lab/faults/zones.py
+++ b/saltcart/lab/faults/zones.py
@@ -10,7 +10,8 @@
 import random
 import time
 from collections import Counter
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -69,10 +70,10 @@
 
 
 class Rig:
-    def __init__(self, play: Play, seed: int) -> None:
-        self.play, self.luck, self.told = play, random.Random(seed), Told()
+    def __init__(self, play: Play, seed: int, instances: int = INSTANCES) -> None:
+        self.play, self.luck, self.told, self.instances = play, random.Random(seed), Told(), instances
         self.sites = [Site(n) for n in range(ZONES * MEMBERS)]
-        self.links = Links(INSTANCES, seed)
+        self.links = Links(instances, seed)
         self.relay = Relay(self.links)
         self.cut = set[tuple[int, int]]()  # processes and members between which nothing passes
         self.begun = 0.0
@@ -107,23 +108,30 @@
             "upstream": [{"name": "work", "members": members}], "locality": {"upstream": "work"},
             "tenant": [{"name": "rig", "share": 1.0, "quota": 10_000.0}]})
 
-    async def run(self) -> Told:
+    @asynccontextmanager
+    async def opened(self) -> AsyncIterator[None]:
+        """The relay, the members and the processes, which know of each other."""
         await self.relay.open()
         try:
             async with AsyncExitStack() as stack:
-                for process in range(INSTANCES):
+                for process in range(self.instances):
                     for member in range(ZONES * MEMBERS):
                         made = AjpStandIn(self.script(process, member))
                         self.stand_ins[process, member] = await stack.enter_async_context(made)
                         made.port = int(made.address.split(":")[1])
-                self.programs = await stack.enter_async_context(fleet(INSTANCES, self.make))
+                self.programs = await stack.enter_async_context(fleet(self.instances, self.make))
                 await start_all(self.programs)
                 for number, program in enumerate(self.programs):
                     self.relay.know(number, program.addresses["member"])
                 await self.settled()
-                await self.day()
+                self.begun = time.time()
+                yield
         finally:
             self.relay.close()
+
+    async def run(self) -> Told:
+        async with self.opened():
+            await self.day()
         return self.told
 
     async def states(self) -> list[dict[str, Any] | None]:
@@ -192,25 +200,32 @@
         told.home += good and not hurt and answer.body == b"%d" % zone
         told.served[int(2 * at)] += zone == 0 and good
 
+    async def lose(self) -> None:
+        """All members of the first zone are gone: their ports refuse."""
+        for (_, member), stand_in in self.stand_ins.items():
+            if member < MEMBERS:
+                await stand_in.__aexit__()
+
+    async def regain(self) -> None:
+        for (_, member), stand_in in self.stand_ins.items():
+            if member < MEMBERS:
+                await stand_in.__aenter__()
+
     async def trouble(self) -> None:
         play = self.play
         await self.until(play.begin)
-        mine = [n for n in range(INSTANCES) if n % ZONES == 0]
+        mine = [n for n in range(self.instances) if n % ZONES == 0]
         if play.name == "zone lost":
-            for (_, member), stand_in in self.stand_ins.items():
-                if member < MEMBERS:
-                    await stand_in.__aexit__()
+            await self.lose()
             await self.until(play.end)
-            for (_, member), stand_in in self.stand_ins.items():
-                if member < MEMBERS:
-                    await stand_in.__aenter__()
+            await self.regain()
         elif play.name == "half slow":
             self.sites[0].slow = self.sites[1].slow = 10.0
             await self.until(play.end)
             self.sites[0].slow = self.sites[1].slow = 1.0
         elif play.name == "cut":
             self.links.between(Rule(cut=True), mine)
-            self.cut = {(n, m) for n in range(INSTANCES) for m in range(ZONES * MEMBERS)
+            self.cut = {(n, m) for n in range(self.instances) for m in range(ZONES * MEMBERS)
                         if (n in mine) != (m < MEMBERS)}
             await self.until(play.end)
             self.links.clear()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -5,9 +5,12 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Callable
+from typing import Any
 
 import pytest
 
+from saltcart.lab.faults import subsets, zones
 from saltcart.lab.faults.links import Links, Passed, Relay, Rule, fate
 from saltcart.lab.faults.members import present, rig
 from saltcart.lab.faults.programs import RigError
@@ -135,6 +138,54 @@
     asyncio.run(play())
 
 
+def test_a_lost_zone_is_left_by_all_processes_and_the_others_keep_their_work() -> None:
+    async def play() -> None:
+        r = zones.Rig(zones.PLAYS[0], 1, instances=6)
+        async with r.opened():
+            calls = asyncio.create_task(ask(r))
+            try:
+                await holds(r, lambda rows: rows == {})
+                await r.lose()
+                await holds(r, lambda rows: rows.keys() == {"z0"} and "z0" not in rows["z0"])
+            finally:
+                calls.cancel()
+
+    async def ask(r: zones.Rig) -> None:
+        """A steady stream of requests, to each process in turn."""
+        tasks = set[asyncio.Task[None]]()
+        for n in range(100_000):
+            tasks.add(asyncio.create_task(r.request(0.0, n % r.instances)))
+            tasks = {t for t in tasks if not t.done()}
+            await asyncio.sleep(0.025)
+
+    async def holds(r: zones.Rig, wanted: Callable[[dict[str, Any]], bool]) -> None:
+        async with asyncio.timeout(2 * WAIT):
+            while True:
+                states = await r.states()
+                if all(s is not None and wanted(s["rows"]) for s in states):
+                    return
+                await asyncio.sleep(0.1)
+
+    asyncio.run(play())
+
+
+def test_members_have_as_many_clients_as_each_other_after_a_process_is_killed() -> None:
+    async def play() -> None:
+        r = subsets.Rig(1, instances=4)
+        async with r.opened():
+            await r.start(range(4))
+            states = await r.step("start", {}, 1)
+            assert r.told.settled and set(r.clients(states)) == {2}
+            r.programs[0].kill()  # the one that follows the tables
+            states = await r.step("one dies", states, 1)
+            assert len(states) == 3 and sorted(set(r.clients(states))) == [1, 2]
+            await r.start(range(1))
+            states = await r.step("it comes back", states, 1)
+            assert r.told.settled and set(r.clients(states)) == {2}
+
+    asyncio.run(play())
+
+
 def test_a_program_that_cannot_start_is_told_with_its_reason() -> None:
     async def play() -> None:
         async with rig(1, 1, probe_wait=9.0) as r:
