Membership sends to loopback addresses alone, whatever a peer's packet names

Seen on a read: an address in a packet is what a peer says, and sending to a name would look it up, on the event loop. Change: addresses that are not loopback are counted, logged and not sent to; seeds and advertise are held to loopback like listen. Guard: a packet from "somewhere.invalid:9" is not answered (tests/test_faults.py).

--- a/saltcart/member/settings.py
+++ b/saltcart/member/settings.py
@@ -14,7 +14,7 @@
 
 ADDRESS = r"^[A-Za-z0-9.-]{1,253}:\d{1,5}$"
 LABEL = r"^[A-Za-z0-9._-]{0,32}$"
-LOOPBACK = re.compile(r"(127(\.\d{1,3}){3}|localhost):")
+LOOPBACK = re.compile(r"(127(\.\d{1,3}){3}|localhost):\d{1,5}\Z")
 
 Address = Annotated[str, Meta(pattern=ADDRESS)]
 Label = Annotated[str, Meta(pattern=LABEL)]
@@ -50,8 +50,10 @@
     for key, value in (("listen", conf.listen), ("advertise", conf.advertise)):
         if value is not None and int(value.rpartition(":")[2]) > 65535:
             raise WireError(f"member.{key}: no such port: {value}")
-    if not LOOPBACK.match(conf.listen):
-        raise WireError("member.listen: packets are not signed, so only loopback addresses are allowed")
+    for key, value in (("listen", conf.listen), ("advertise", conf.advertise), *(
+            (f"seeds[{n}]", seed) for n, seed in enumerate(conf.seeds))):
+        if value is not None and not LOOPBACK.match(value):
+            raise WireError(f"member.{key}: packets are not signed, so only loopback addresses are allowed")
     if conf.probe_wait >= conf.probe_every:
         raise WireError("member.probe_wait: not shorter than probe_every")
     return conf
--- a/saltcart/net/gossip.py
+++ b/saltcart/net/gossip.py
@@ -12,7 +12,7 @@
 from saltcart.member.board import Post
 from saltcart.member.detector import Detector
 from saltcart.member.record import Record, State
-from saltcart.member.settings import MemberSettings
+from saltcart.member.settings import LOOPBACK, MemberSettings
 from saltcart.member.view import Change
 from saltcart.net.base import address
 from saltcart.wire.errors import Malformed
@@ -93,8 +93,11 @@
         for to, packet in self.detector.drain():
             if self.transport is not None:
                 try:
+                    # An address is what a peer says: none may lead elsewhere, or have a name looked up.
+                    if not LOOPBACK.match(to):
+                        raise ValueError("not a loopback address")
                     self.transport.sendto(messages.encode(packet), address(to))
-                except (OSError, ValueError) as error:  # an address that a peer made up, a full buffer
+                except (OSError, ValueError) as error:  # a port that is none, a full buffer
                     self.refused += 1
                     if self.refused <= TAKEN:
                         self.log("member-unsent", peer=to, error=str(error))
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,6 +14,10 @@
 from saltcart.lab.faults.links import Links, Passed, Relay, Rule, fate
 from saltcart.lab.faults.members import present, rig
 from saltcart.lab.faults.programs import RigError
+from saltcart.member import messages as m
+from saltcart.member.record import Record
+from saltcart.member.settings import MemberSettings
+from saltcart.net.gossip import Gossip
 
 WAIT = 30.0  # seconds that a busy machine may take for what takes three
 
@@ -86,6 +90,29 @@
     asyncio.run(play())
 
 
+def test_no_datagram_goes_where_a_peer_says_but_to_loopback() -> None:
+    async def play() -> None:
+        logged = list[tuple[str, dict[str, object]]]()
+        gossip = Gossip(MemberSettings("127.0.0.1:0", "c"), "me", 1,
+                        lambda event, **fields: logged.append((event, fields)))
+        at = (await gossip.open()).split(":")
+        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=(at[0], int(at[1])))
+        stranger = Record("x", "somewhere.invalid:9", 1)
+        transport.sendto(m.encode(m.Packet(m.WIRE, "c", stranger, m.Ping(1))))
+        transport.sendto(b"\xc1 no packet")
+        async with asyncio.timeout(WAIT):
+            while len({event for event, _ in logged} & {"member-unsent", "member-malformed"}) < 2:
+                await asyncio.sleep(0.005)
+        figures = dict(gossip.figures())
+        assert figures["member.unsent"] >= 1 and figures["member.malformed"] == 1
+        assert ("member-unsent", {"peer": "somewhere.invalid:9", "error": "not a loopback address"}) in logged
+        transport.close()
+        gossip.close()
+
+    asyncio.run(play())
+
+
 def test_of_three_processes_one_is_killed_and_gone_from_the_others_views() -> None:
     async def play() -> None:
         async with rig(3, 1) as r:
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -402,6 +402,7 @@
     ({"listen": "127.0.0.1:99999", "cluster": "c"}, "member.listen: no such port"),
     ({"listen": "10.0.0.1:7000", "cluster": "c"}, "member.listen: packets are not signed"),
     ({"listen": "127.0.0.1:0", "cluster": "c", "probe_wait": 0.5}, "member.probe_wait"),
+    ({"listen": "127.0.0.1:0", "cluster": "c", "seeds": ["10.0.0.1:7"]}, r"member.seeds\[0\]: packets"),
     ({"listen": "127.0.0.1:0", "cluster": "c", "seeds": ["x"]}, r"member.seeds\[0\]")])
 def test_a_wrong_table_names_its_field(raw: dict[str, object], reason: str) -> None:
     with pytest.raises(WireError, match=reason):
