Fleet: choices go by the class's shared load, refused members wait for their turn

Change: reports and sums carry what is under way at each member, and the less loaded of two is the one where the whole class has less; a member that refused a connection is left alone until this instance's own turn in a period that doubles. Guards: a member that two others keep busy is drawn by a third in under 60 of 400 choices (over 60 without the shared load); four instances that meet one refusal at the same moment come back at four moments within a second.

--- a/saltcart/fleet/instance.py
+++ b/saltcart/fleet/instance.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
@@ -15,26 +16,32 @@
 from saltcart.fleet.classes import PARTS, encode_part, follow, part_of, preferred, read_part, short
 from saltcart.fleet.settings import FleetSettings
 from saltcart.fleet.shares import Share
-from saltcart.fleet.turns import next_turn, place_of
+from saltcart.fleet.turns import Retry, next_turn, place_of
 from saltcart.locality.instance import Demand
 from saltcart.member.record import Record
 from saltcart.wire.errors import Malformed
 
 MEMBERS, INSTANCES, SUM, REPORT = "fleet/members/", "fleet/instances/", "fleet/sum/", "fleet/report"
+RETRY_FIRST, RETRY_MOST = 0.5, 8.0  # seconds until a member that refused is tried again; doubled each time
 SETTLED = 1.0  # seconds for which those present must not have changed before the tables follow them
 
 
 class Sum(msgspec.Struct, array_like=True, frozen=True):
-    """What a class is asked for, in requests a second, by so many of its instances."""
+    """What a class is asked for, in requests a second, by so many of its instances.
+
+    ``loads``: requests under way at each member, by its place among the sorted members, over all of them.
+    """
 
     demand: float
     clients: int
+    loads: dict[int, int] = {}
 
 
 class Told(msgspec.Struct, array_like=True, frozen=True):
-    """What one instance is asked for."""
+    """What one instance is asked for, and what it has under way at each member."""
 
     demand: float
+    loads: dict[int, int] = {}
 
 
 class Fleet(Protocol):
@@ -60,7 +67,11 @@
         self.classes = min(conf.classes, max(1, len(members)))
         self.tables: dict[str, dict[int, dict[int, int]]] = {MEMBERS: {}, INSTANCES: {}}  # by part and digest
         self.sums: dict[int, tuple[float, Sum]] = {}
-        self.reports: dict[str, tuple[float, float]] = {}
+        self.reports: dict[str, tuple[float, Told]] = {}
+        self.places = {h: n for n, h in enumerate(sorted(members))}
+        self.shared: dict[int, int] = {}  # what the class has under way, as it was told last
+        self.retries: dict[str, Retry] = {}  # members that refused, and until when each is left alone
+        self.resting: dict[str, float] = {}
         self.demand, self.told = Demand(), 0.0
         self.seen: tuple[str, ...] = ()
         self.seen_at = now
@@ -125,7 +136,7 @@
         """``Malformed`` for a report that is none."""
         if topic == REPORT:
             try:
-                self.reports[sender.name] = now, _tolds.decode(data).demand
+                self.reports[sender.name] = now, _tolds.decode(data)
             except msgspec.MsgspecError as error:
                 raise Malformed(f"not a report: {error}") from None
 
@@ -142,20 +153,26 @@
             self._follow(INSTANCES, present)
         own = self.own
         self.told = round(self.demand.rate(now), 3)
+        told = Told(self.told, {self.places[h]: n for h in self.subset if (n := self.under_way(h))})
         peers = [n for n in present if self.class_of(INSTANCES, n) == own]
         if not peers or peers[0] == self.name:
-            self.reports[self.name] = now, self.told
-            self.reports = {n: (at, d) for n, (at, d) in self.reports.items()
+            self.reports[self.name] = now, told
+            self.reports = {n: (at, t) for n, (at, t) in self.reports.items()
                             if now - at <= self.conf.stale and self.class_of(INSTANCES, n) == own}
-            told = Sum(round(sum(d for _, d in self.reports.values()), 3), len(self.reports))
-            self.fleet.post(f"{SUM}{own}", _encoder.encode(told))
+            loads = Counter[int]()
+            for _, one in self.reports.values():
+                loads.update(one.loads)
+            total = Sum(round(sum(t.demand for _, t in self.reports.values()), 3), len(self.reports),
+                        dict(loads))
+            self.fleet.post(f"{SUM}{own}", _encoder.encode(total))
         else:
-            self.fleet.give(peers[0], REPORT, _encoder.encode(Told(self.told)))
+            self.fleet.give(peers[0], REPORT, _encoder.encode(told))
 
     # ---- requests -----------------------------------------------------------------------------
 
     def _confirm(self, now: float) -> None:
         at, total = self.sums.get(self.own, (float("-inf"), Sum(0.0, 0)))
+        self.shared = total.loads if now - at <= self.conf.stale else {}
         if now - at <= self.conf.stale and total.clients:
             self.share.confirm(now, self.told, max(total.demand, self.told), total.clients)
 
@@ -172,12 +189,29 @@
         self.refused += 1
         return False
 
-    def choose(self, tried: set[str]) -> str | None:
+    def under_way(self, host: str) -> int:
+        return max(0, round(self.load(host)) - 1)
+
+    def _busy(self, host: str) -> float:
+        """What this instance has at a member now, and what the whole class had when it was told last."""
+        return self.load(host) + self.shared.get(self.places[host], 0)
+
+    def choose(self, now: float, tried: set[str]) -> str | None:
         """The less loaded of two of the subset; of the others only when all of it was tried."""
         left = [h for h in self.subset if h not in tried] or [h for h in self.members if h not in tried]
         if not left:
             return None
-        return min(self.rng.choice(left), self.rng.choice(left), key=self.load)
+        left = [h for h in left if self.resting.get(h, 0.0) <= now] or left
+        return min(self.rng.choice(left), self.rng.choice(left), key=self._busy)
+
+    def ended(self, now: float, host: str, good: bool, refused: bool) -> None:
+        """A member that refused is tried again at this instance's own turn, later each time."""
+        if refused:
+            retry = self.retries.setdefault(host, Retry(RETRY_FIRST, RETRY_MOST))
+            self.resting[host] = retry.failed(now, place_of(self.name, self.seen))
+        elif good and host in self.retries:
+            del self.retries[host]
+            self.resting.pop(host, None)
 
     # ---- what is shown ------------------------------------------------------------------------
 
--- a/saltcart/net/evenly.py
+++ b/saltcart/net/evenly.py
@@ -34,8 +34,7 @@
         self.together.posted(now, topic, data)
 
     def _load(self, host: str) -> float:
-        member = self.runs.by_host[host]
-        return (member.open + 1) / member.weight
+        return self.runs.by_host[host].open + 1.0  # weights are for upstreams that are not shared out
 
     def present(self) -> Sequence[str]:
         if self.names_at != self.detector.view.version:
@@ -49,10 +48,10 @@
         return self.together.arrived(self.loop.time())
 
     def choose(self, tried: set[str], safe: bool) -> str | None:
-        return self.together.choose(tried)
+        return self.together.choose(self.loop.time(), tried)
 
     def ended(self, host: str, good: bool, took: float, refused: bool) -> None:
-        """Members that fail are no concern of these choices: others of the subset are tried."""
+        self.together.ended(self.loop.time(), host, good, refused)
 
     def state(self) -> dict[str, object]:
         return self.together.state(self.loop.time())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -243,8 +243,40 @@
     town.run(3.0)
     one = town.instances["i00"]
     mine = set(one.subset)
-    assert {one.choose(set()) for _ in range(50)} <= mine
-    assert one.choose(mine) in set(town.hosts) - mine and one.choose(set(town.hosts)) is None
+    assert {one.choose(town.now, set()) for _ in range(50)} <= mine
+    assert one.choose(town.now, mine) in set(town.hosts) - mine
+    assert one.choose(town.now, set(town.hosts)) is None
+
+
+def test_the_choice_goes_by_what_the_whole_class_has_under_way() -> None:
+    town = Town(3, 4, classes=1)
+    for i in town.instances.values():
+        i.load = lambda host: 30.0 if host == "h0" else 1.0  # two others keep it busy, too
+    town.run(4.0)
+    one = town.instances["i00"]
+    one.load = lambda host: 1.0  # of its own it has nothing there
+    drawn = Counter(one.choose(town.now, set()) for _ in range(400))
+    assert drawn["h0"] < 60  # only where both draws are the busy one
+    one.shared = {}
+    assert Counter(one.choose(town.now, set()) for _ in range(400))["h0"] > 60
+
+
+def test_a_member_that_refused_is_left_alone_until_the_own_turn_and_longer_each_time() -> None:
+    town = Town(4, 4, classes=1)
+    town.run(3.0)
+    waits = []
+    for i in town.instances.values():
+        i.ended(town.now, "h0", False, True)
+        assert all(i.choose(town.now, set()) != "h0" for _ in range(60))
+        waits.append(i.resting["h0"] - town.now)
+        assert any(i.choose(town.now + waits[-1], set()) == "h0" for _ in range(60))
+    assert len({round(w, 2) for w in waits}) == 4 and max(waits) <= 1.0  # not two at the same moment
+    one = town.instances["i00"]
+    for _ in range(4):
+        one.ended(town.now, "h0", False, True)
+    assert one.resting["h0"] - town.now > 2.0
+    one.ended(town.now, "h0", True, False)
+    assert "h0" not in one.resting
 
 
 def test_who_knows_no_table_still_has_a_class() -> None:
