--- a/saltcart/fleet/instance.py
+++ b/saltcart/fleet/instance.py
@@ -17,7 +17,7 @@
 from saltcart.fleet.settings import FleetSettings
 from saltcart.fleet.shares import Share
 from saltcart.fleet.turns import Retry, next_turn, place_of
-from saltcart.locality.instance import Demand
+from saltcart.locality.demand import QUICK, Demand
 from saltcart.member.record import Record
 from saltcart.wire.errors import Malformed
 
@@ -72,7 +72,7 @@
         self.shared: dict[int, int] = {}  # what the class has under way, as it was told last
         self.retries: dict[str, Retry] = {}  # members that refused, and until when each is left alone
         self.resting: dict[str, float] = {}
-        self.demand, self.told = Demand(), 0.0
+        self.demand, self.told = Demand(QUICK), 0.0
         self.seen: tuple[str, ...] = ()
         self.seen_at = now
         self.next_at = now + conf.report_every * rng.random()
--- a/saltcart/lab/faults/zones.py
+++ b/saltcart/lab/faults/zones.py
@@ -1,4 +1,4 @@
-"""Zones in the rig: nine real processes in three zones, each with three stand-in members, and callers.
+"""Zones in the rig: nine or twelve real processes in three or six zones of three members, and callers.
 
 Each process reaches each member at a port of its own, so that what lies between the two can be cut without
 touching the others.  What members say to each other goes through the relay.
@@ -21,8 +21,7 @@
 from saltcart.lab.faults.programs import TOKEN, Program, call, fleet, settings, start_all
 from saltcart.lab.standins import Act, AjpStandIn, Asked
 
-INSTANCES, ZONES, MEMBERS = 9, 3, 3
-REGION = ("r0", "r0", "r1")
+MEMBERS = 3  # of a zone
 RATE = 8.0  # requests a second of one instance
 CAPACITY = 16.0  # requests a second of one member: 48 a zone, of which 24 are its own
 TOOK = 0.03
@@ -37,10 +36,17 @@
     seconds: float
     begin: float
     end: float
+    hurt: tuple[int, ...] = (0,)  # zones that suffer
+    regions: tuple[str, ...] = ("r0", "r0", "r1")  # of each zone
+    instances: int = 9
+    stalled: tuple[int, ...] = ()  # processes that nothing reaches for a while after the trouble began
 
 
+STALL = 2.5  # seconds
 PLAYS = (Play("zone lost", 45.0, 8.0, 18.0), Play("half slow", 30.0, 8.0, 28.0),
-         Play("cut", 40.0, 8.0, 20.0), Play("flap", 40.0, 8.0, 38.0))
+         Play("cut", 40.0, 8.0, 20.0), Play("flap", 40.0, 8.0, 38.0),
+         Play("region lost", 60.0, 8.0, 20.0, (0, 1, 2), ("r0", "r0", "r0", "r1", "r1", "r1"), 12),
+         Play("views apart", 30.0, 8.0, 26.0, stalled=(3, 7)))
 
 
 @dataclass
@@ -49,13 +55,14 @@
     good: int = 0
     healthy: int = 0  # requests of zones in health, and of these
     home: int = 0  # those that their own zone's members did
-    served: Counter[int] = field(default_factory=Counter)  # of the first zone, by half second
+    served: Counter[int] = field(default_factory=Counter)  # of the zones that suffer, by half second
     offered: Counter[int] = field(default_factory=Counter)
     failover: float | None = None
     moves: int = 0
     swings: int = 0
     agree: float = 0.0
     over: int = 0  # seconds in which more than a zone's capacity came to it
+    apart: int = 0  # processes whose plan was another than the newest, when the stall ended
     plans: list[int] = field(default_factory=list)
 
 
@@ -70,9 +77,11 @@
 
 
 class Rig:
-    def __init__(self, play: Play, seed: int, instances: int = INSTANCES) -> None:
-        self.play, self.luck, self.told, self.instances = play, random.Random(seed), Told(), instances
-        self.sites = [Site(n) for n in range(ZONES * MEMBERS)]
+    def __init__(self, play: Play, seed: int) -> None:
+        self.play, self.luck, self.told, self.instances = play, random.Random(seed), Told(), play.instances
+        self.zones = len(play.regions)
+        self.sites = [Site(n) for n in range(self.zones * MEMBERS)]
+        instances = self.instances
         self.links = Links(instances, seed)
         self.relay = Relay(self.links)
         self.cut = set[tuple[int, int]]()  # processes and members between which nothing passes
@@ -97,14 +106,16 @@
 
     def make(self, number: int, folder: Path) -> Program:
         members = [{"host": self.stand_ins[number, m].address, "zone": f"z{m // MEMBERS}",
-                    "region": REGION[m // MEMBERS], "capacity": CAPACITY} for m in range(ZONES * MEMBERS)]
-        zone = number % ZONES
+                    "region": self.play.regions[m // MEMBERS], "capacity": CAPACITY}
+                   for m in range(self.zones * MEMBERS)]
+        zone = number % self.zones
         return Program(f"i{number}", folder, {
             "listen": "127.0.0.1:0", "seed": f"{number + 7:x}", "settings": settings(CLASSES, 8),
             "limits": {"sockets": 512}}, {
             "admin": {"listen": "127.0.0.1:0", "token": TOKEN},
             "member": {"listen": "127.0.0.1:0", "cluster": "zones", "advertise": self.relay.addresses[number],
-                       "seeds": self.relay.addresses[:3], "zone": f"z{zone}", "region": REGION[zone]},
+                       "seeds": self.relay.addresses[:3], "zone": f"z{zone}",
+                       "region": self.play.regions[zone]},
             "upstream": [{"name": "work", "members": members}], "locality": {"upstream": "work"},
             "tenant": [{"name": "rig", "share": 1.0, "quota": 10_000.0}]})
 
@@ -115,7 +126,7 @@
         try:
             async with AsyncExitStack() as stack:
                 for process in range(self.instances):
-                    for member in range(ZONES * MEMBERS):
+                    for member in range(self.zones * MEMBERS):
                         made = AjpStandIn(self.script(process, member))
                         self.stand_ins[process, member] = await stack.enter_async_context(made)
                         made.port = int(made.address.split(":")[1])
@@ -140,7 +151,7 @@
     async def settled(self) -> None:
         """Everybody knows of all zones."""
         async with asyncio.timeout(SETTLE):
-            while not all(s is not None and len(s["zones"]) == ZONES for s in await self.states()):
+            while not all(s is not None and len(s["zones"]) == self.zones for s in await self.states()):
                 await asyncio.sleep(LOOK)
 
     # ---- the day ------------------------------------------------------------------------------
@@ -151,8 +162,8 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.trouble())
             at = 0.0
-            while (at := at + self.luck.expovariate(RATE * INSTANCES)) < play.seconds:
-                group.create_task(self.request(at, self.luck.randrange(INSTANCES)))
+            while (at := at + self.luck.expovariate(RATE * self.instances)) < play.seconds:
+                group.create_task(self.request(at, self.luck.randrange(self.instances)))
         plans = [e for p in self.programs for e in p.events if e["event"] == "locality-plan"]
         # One plan is told by each process that took it up; the number and its author name it.
         rows = [tuple(sorted((z, *sorted(r.items())) for z, r in e["rows"].items()))
@@ -166,25 +177,25 @@
         states = [s for s in await self.states() if s is not None]
         told.plans = [s["plan"] for s in states]
         held = Counter(repr(sorted((z, sorted(row.items())) for z, row in s["rows"].items())) for s in states)
-        told.agree = sum(n * (n - 1) for n in held.values()) / (INSTANCES * (INSTANCES - 1))
+        told.agree = sum(n * (n - 1) for n in held.values()) / (self.instances * (self.instances - 1))
         for half in range(int(2 * play.begin), int(2 * play.end) - 2):
             span = range(half, half + 3)
             offered = sum(told.offered[h] for h in span)
             if offered and sum(told.served[h] for h in span) >= 0.99 * offered:
                 told.failover = half / 2 - play.begin
                 break
-        for zone in range(ZONES):
+        for zone in range(self.zones):
             sites = [s for s in self.sites if s.zone == zone]
             told.over += sum(sum(s.came[n] for s in sites) > 1.2 * MEMBERS * CAPACITY
                              for n in range(int(play.seconds)))
 
     async def request(self, at: float, instance: int) -> None:
         await asyncio.sleep(max(0.0, self.begun + at - time.time()))
-        play, told, zone = self.play, self.told, instance % ZONES
+        play, told, zone = self.play, self.told, instance % self.zones
         told.requests += 1
-        hurt = zone == 0 and play.begin <= at and play.name != "cut"
+        hurt = zone in play.hurt and play.begin <= at and play.name != "cut"
         told.healthy += not hurt
-        told.offered[int(2 * at)] += zone == 0
+        told.offered[int(2 * at)] += zone in play.hurt
         number = told.requests
         data = (f"POST /call/read HTTP/1.1\r\nHost: lab\r\nRequest-Id: {number:016x}\r\n"
                 f"Account: rig\r\n"
@@ -198,25 +209,37 @@
         good = answer.status == 200
         told.good += good
         told.home += good and not hurt and answer.body == b"%d" % zone
-        told.served[int(2 * at)] += zone == 0 and good
+        told.served[int(2 * at)] += zone in play.hurt and good
 
     async def lose(self) -> None:
-        """All members of the first zone are gone: their ports refuse."""
+        """All members of the zones that suffer are gone: their ports refuse."""
         for (_, member), stand_in in self.stand_ins.items():
-            if member < MEMBERS:
+            if member // MEMBERS in self.play.hurt:
                 await stand_in.__aexit__()
 
     async def regain(self) -> None:
         for (_, member), stand_in in self.stand_ins.items():
-            if member < MEMBERS:
+            if member // MEMBERS in self.play.hurt:
                 await stand_in.__aenter__()
 
+    async def stall(self) -> None:
+        """Nothing reaches some processes for a while: they go on with the plan of before."""
+        for number in self.play.stalled:
+            self.links.set(Rule(stall=True), receiver=number)
+        await self.until(self.play.begin + STALL)
+        numbers = [s["plan"] for s in await self.states() if s is not None]
+        self.told.apart = sum(n != max(numbers) for n in numbers)
+        self.links.clear()
+        self.relay.release()
+
     async def trouble(self) -> None:
         play = self.play
         await self.until(play.begin)
-        mine = [n for n in range(self.instances) if n % ZONES == 0]
-        if play.name == "zone lost":
+        mine = [n for n in range(self.instances) if n % self.zones == 0]
+        if play.name in {"zone lost", "region lost", "views apart"}:
             await self.lose()
+            if play.stalled:
+                await self.stall()
             await self.until(play.end)
             await self.regain()
         elif play.name == "half slow":
@@ -225,7 +248,7 @@
             self.sites[0].slow = self.sites[1].slow = 1.0
         elif play.name == "cut":
             self.links.between(Rule(cut=True), mine)
-            self.cut = {(n, m) for n in range(self.instances) for m in range(ZONES * MEMBERS)
+            self.cut = {(n, m) for n in range(self.instances) for m in range(self.zones * MEMBERS)
                         if (n in mine) != (m < MEMBERS)}
             await self.until(play.end)
             self.links.clear()
--- a/saltcart/lab/nearness.py
+++ b/saltcart/lab/nearness.py
@@ -11,7 +11,7 @@
 from saltcart.lab.zones import POLICIES, Day, Seen
 
 SIZE = {True: 180, False: 2_000}  # instances of the model, by --quick
-FLAP_S = {True: 900.0, False: 3_600.0}  # seconds of the flapping day
+FLAP_S = {True: 1_800.0, False: 3_600.0}  # seconds of the flapping day
 Curves = dict[str, dict[str, Sequence[float]]]
 
 
@@ -67,8 +67,8 @@
                                 + [t.home / max(1, t.healthy) for t in told.values()]), 3),
         "failover_s": lost.failover, "failover_s_processes": told["zone lost"].failover,
         "overload_moves": sum(s.overloads for s in ours.values()),
-        "flaps": round(flap.swings / flap.hours, 2),
-        "moves_on_flap_an_hour": round(flap.moves / flap.hours, 1),
+        "flaps": round(flap.moves / flap.hours, 2),
+        "swings_on_flap_an_hour": round(flap.swings / flap.hours, 2),
         "agree": round(min([s.agree for s in ours.values()] + [t.agree for t in told.values()]), 4),
         "success": success(lost),
         "success_processes": round(told["zone lost"].good / told["zone lost"].requests, 4),
--- a/saltcart/lab/zones.py
+++ b/saltcart/lab/zones.py
@@ -10,6 +10,7 @@
 
 import heapq
 import itertools
+import math
 import random
 import time
 from collections import Counter
@@ -19,6 +20,7 @@
 
 import numpy as np
 
+from saltcart.locality.evidence import Tally
 from saltcart.locality.instance import Locality
 from saltcart.locality.outliers import Outliers
 from saltcart.locality.plan import Plan, row_of
@@ -35,6 +37,8 @@
 HEARD = (0.2, 0.9)  # seconds until a post or report is there
 NOTICED = 3.0  # seconds after which members beyond a cut are out of the view
 TRIES = 3
+LOOK = 5.0  # seconds, a second after a move, in which what comes into a zone is held against its limit
+ALONE_HALF_LIFE = 0.7  # seconds: how long an end counts for an instance that decides alone
 CONF = LocalitySettings(upstream="work")
 
 
@@ -129,18 +133,25 @@
         self.fleet, self.own = fleet, number % len(fleet.sites.zones)
         self.outliers = Outliers(CONF, fleet.sites.members)
         self.luck = random.Random(fleet.luck.random())
+        self.ends = [Tally(ALONE_HALF_LIFE) for _ in fleet.sites.zones]
+
+    def healthy(self, now: float, zone: int) -> bool:
+        ends = self.ends[zone]
+        ends.fade(now)
+        share = ends.good / (ends.good + ends.bad) if ends.good + ends.bad >= 0.5 else 1.0
+        return min(share, self.outliers.grade(now, zone)[0]) >= CONF.panic
 
     def choose(self, now: float, tried: set[str]) -> str | None:
         if not tried and (host := self.outliers.on_trial(now, self.own, False)) is not None:
             return host
-        sound = [z for z in range(len(self.fleet.sites.zones))
-                 if self.outliers.grade(now, z)[0] >= CONF.panic]
+        sound = [z for z in range(len(self.fleet.sites.zones)) if self.healthy(now, z)]
         zones = [self.own] if self.own in sound else sound or [self.own]
         zone = self.luck.choice(zones)
         hosts = [h for h in self.outliers.able(now, zone) if h not in tried]
         return self.luck.choice(hosts) if hosts else None
 
     def ended(self, now: float, host: str, good: bool, took: float, refused: bool = False) -> None:
+        self.ends[self.fleet.zone_of[host]].add(now, good, not good)
         self.outliers.ended(now, host, good, took, refused)
 
 
@@ -260,7 +271,7 @@
             self.plans.append((self.now, plan.rows))
 
     def _judge(self, before: dict[int, dict[int, int]], rows: dict[int, dict[int, int]]) -> None:
-        """A look two seconds later at zones that the move sends more to than before."""
+        """A look at the seconds after the move, at zones that it sends more to than before."""
         count = len(self.sites.zones)
 
         def into(table: dict[int, dict[int, int]], t: int) -> int:
@@ -268,14 +279,15 @@
 
         more = [t for t in range(count) if into(rows, t) > into(before, t) + 20]
 
+        begin = int(self.now / STEP) + 10
+
         def look() -> None:
-            last = int(self.now / STEP)
             for t in more:
-                came = self.inflow[max(0, last - 20):last, t].sum() / (20 * STEP)
-                able = sum(self.capacity / self.slowness(h) for h in self.sites.members[t])
-                self.seen.overloads += bool(came > 1.1 * able)  # of chance in two seconds' draws
+                came = float(self.inflow[begin:begin + int(LOOK / STEP), t].sum())
+                able = LOOK * sum(self.capacity / self.slowness(h) for h in self.sites.members[t])
+                self.seen.overloads += came > able + 3 * math.sqrt(able)  # beyond chance
 
-        self.after(3.0, look)
+        self.after(1.0 + LOOK + STEP, look)
 
     # ---- requests -----------------------------------------------------------------------------
 
--- a/saltcart/locality/instance.py
+++ b/saltcart/locality/instance.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
+from saltcart.locality.demand import QUICK, STEADY, Demand
 from saltcart.locality.outliers import Outliers
 from saltcart.locality.plan import WHOLE, Heard, Plan, encode, propose, read_plan
 from saltcart.locality.reports import Collector, Report, Summary, read_report, read_summary
@@ -19,9 +20,6 @@
 from saltcart.member.record import Record
 
 PLAN, ZONE, REPORT = "locality/plan", "locality/zone/", "locality/report"
-HALF_LIFE = 6.0  # seconds: of the demand that is told
-SHORTEST = 1.0  # seconds: over less than that a rate is chance
-LN2 = 0.6931471805599453
 ABROAD = 0.25  # tries in other zones than planned, for each request: more would be a herd of its own
 SAVED = 50.0  # of those that may be saved up
 TRIALS = 0.1  # of the requests may find out about members that get no work
@@ -35,36 +33,6 @@
     def give(self, name: str, topic: str, data: bytes) -> None: ...
 
 
-class Demand:
-    """Requests a second of late.
-
-    What has been counted for a short time only is counted for what it would come to: else an instance that
-    has just started says too little, and its zone's work is moved to one that has no room for it.
-    """
-
-    def __init__(self) -> None:
-        self.level, self.at = 0.0, 0.0
-        self.begun: float | None = None
-
-    def add(self, now: float) -> None:
-        if self.begun is None:
-            self.begun = self.at = now
-        self._fade(now)
-        self.level += 1
-
-    def rate(self, now: float) -> float:
-        if self.begun is None:
-            return 0.0
-        self._fade(now)
-        seen = 1 - 0.5 ** (max(SHORTEST, now - self.begun) / HALF_LIFE)
-        return float(self.level * LN2 / HALF_LIFE / seen)
-
-    def _fade(self, now: float) -> None:
-        if now > self.at:
-            self.level *= 0.5 ** ((now - self.at) / HALF_LIFE)
-            self.at = now
-
-
 class Locality:
     """``load``: requests under way at a member, over its weight."""
 
@@ -74,8 +42,8 @@
         self.fleet, self.load = fleet, load
         self.own = sites.number[zone]
         self.outliers = Outliers(conf, sites.members)
-        self.demand = Demand()
-        self.collector = Collector(self.own, conf.stale)
+        self.quick, self.steady = Demand(QUICK), Demand(STEADY)
+        self.collector = Collector(self.own, len(sites.members[self.own]), conf)
         self.summaries: dict[int, tuple[float, Summary]] = {}  # and when each came
         self.plan, self.number, self.by = Plan(), 0, ""
         self.doubted = False  # the own zone is not fully trusted
@@ -104,7 +72,11 @@
         elif topic.startswith(ZONE):
             summary = read_summary(data)
             if self.sites.number.get(topic.removeprefix(ZONE)) == summary.zone:
-                self.summaries[summary.zone] = now, summary
+                self._heard(now, summary)
+
+    def _heard(self, now: float, summary: Summary) -> None:
+        self.summaries[summary.zone] = now, summary
+        self.outliers.told(now, summary.zone, summary.parts)
 
     # ---- what this one says -------------------------------------------------------------------
 
@@ -114,14 +86,15 @@
             return
         self.next_at = now + self.conf.report_every * (0.9 + 0.2 * self.rng.random())
         grades = {z: self.outliers.grade(now, z) for z in range(len(self.sites.zones))}
-        report = Report(round(self.demand.rate(now), 2),
-                        {z: (round(g, 3), round(e, 1)) for z, (g, e) in grades.items() if e >= 0.5})
+        report = Report(round(self.quick.rate(now), 2), round(self.steady.rate(now), 2),
+                        {z: (round(g, 3), round(e, 1)) for z, (g, e) in grades.items() if e >= 0.5},
+                        *self.outliers.since_told(self.own))
         speakers = {z: name for z, name in self.fleet.speakers().items() if z in self.sites.number}
         spoken = speakers.get(self.zone)
         if spoken == self.name:
             self.collector.take(now, self.name, report)
             summary = self.collector.summary(now)
-            self.summaries[self.own] = now, summary
+            self._heard(now, summary)
             self.fleet.post(ZONE + self.zone, encode_report(summary))
             if self.name == min(speakers.values()):
                 self._propose(now, unix)
@@ -139,7 +112,8 @@
 
     def arrived(self, now: float) -> None:
         """A request that this instance has to place."""
-        self.demand.add(now)
+        self.quick.add(now)
+        self.steady.add(now)
         self.abroad = min(SAVED, self.abroad + ABROAD)
         self.trials = min(1.0, self.trials + TRIALS)
 
--- a/saltcart/locality/outliers.py
+++ b/saltcart/locality/outliers.py
@@ -7,44 +7,35 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
+from saltcart.locality.evidence import Tally
 from saltcart.locality.settings import LocalitySettings
 
 TRIAL_EVERY = 1.0  # seconds between two requests that one instance sends to a member on trial
 TRIAL_FAR = 10.0  # the same for a member of another zone
 HALF_LIFE = 3.0  # seconds: how long an end counts for a member
-SHORT = 0.7  # seconds: how long it counts for its zone, where many instances see more
-TRACE = 0.05  # of one end, below which nothing is known of a member
+ALONE_FEW = 5.0  # ends at the usual pace, taken for seen of each member: one's own few slow ends are chance
+LEAST_PART = 0.01  # of its capacity, as which one counts that is gone and tried all the same
 FORGIVEN = 4.0  # times its last time out, in health, after which a relapse counts as the first
 
 
+Ends = tuple[int, int, float]  # good and bad ones, and the seconds that the good ones took
+NO_ENDS: Ends = 0, 0, 0.0
+
+
 class Watched:
-    """One member's ends of late."""
+    """One member's ends of late, and whether it is in use."""
 
-    __slots__ = ("at", "bad", "bad_now", "ejections", "good", "good_now", "in_row", "out_for", "out_until",
-                 "sound", "took", "took_n", "tried_at")
+    __slots__ = ("ejections", "in_row", "late", "out_for", "out_until", "sound", "tried_at")
 
     def __init__(self) -> None:
-        self.good = self.bad = self.good_now = self.bad_now = 0.0  # faded, the latter ones sooner
+        self.late = Tally(HALF_LIFE)
         self.sound = True  # its last end was good, or it was never out
-        self.took, self.took_n = 0.0, 0.0  # faded sum of the times of good ends, and their faded number
-        self.at = 0.0
         self.in_row, self.ejections = 0, 0
         self.out_until, self.out_for = 0.0, 0.0
         self.tried_at = float("-inf")  # when work was last sent to it on trial
 
-    def fade(self, now: float) -> None:
-        if now > self.at:
-            left = 0.5 ** ((now - self.at) / HALF_LIFE)
-            soon = 0.5 ** ((now - self.at) / SHORT)
-            self.good, self.bad = self.good * left, self.bad * left
-            self.good_now, self.bad_now = self.good_now * soon, self.bad_now * soon
-            self.took, self.took_n, self.at = self.took * left, self.took_n * left, now
-
-    def mean(self) -> float:
-        return self.took / self.took_n if self.took_n > 0 else 0.0
-
 
 class Outliers:
     """The members of all zones, as one instance finds them."""
@@ -53,6 +44,10 @@
         self.conf, self.zones = conf, [tuple(members) for members in zones]
         self.watched = {host: Watched() for members in self.zones for host in members}
         self.zone_of = {host: n for n, members in enumerate(self.zones) for host in members}
+        self.place = {host: n for members in self.zones for n, host in enumerate(members)}
+        self.ends = [(0, 0) for _ in self.zones]  # good and bad ones since they were told, of members in use
+        self.by_member: dict[str, Ends] = {}  # the same for each member, whether it is in use or not
+        self.parts: dict[str, float] = {}  # what members have of their capacity, as their zones tell
 
     def ended(self, now: float, host: str, good: bool, took: float, refused: bool = False) -> None:
         """A request to this member is over; ``took`` counts for good ends alone.
@@ -62,26 +57,53 @@
         w = self.watched.get(host)
         if w is None:
             return
-        w.fade(now)
+        w.late.add(now, good, not good, took if good else 0.0)
+        zone = self.zone_of[host]
+        ends, of_it = self.ends[zone], self.by_member.get(host, NO_ENDS)
+        self.by_member[host] = (of_it[0] + good, of_it[1] + (not good), of_it[2] + (took if good else 0.0))
         if good:
-            w.good, w.took, w.took_n, w.in_row = w.good + 1, w.took + took, w.took_n + 1, 0
-            w.good_now, w.sound = w.good_now + 1, True
+            self.ends[zone] = ends[0] + 1, ends[1]
+            w.in_row, w.sound = 0, True
             w.out_until = min(w.out_until, now)  # it was on trial, and is back
             if w.ejections and now > w.out_until + FORGIVEN * w.out_for:
                 w.ejections = 0
             return
-        w.bad, w.bad_now, w.in_row = w.bad + 1, w.bad_now + 1, w.in_row + (2 if refused else 1)
+        if not self.failing(now, host):  # of one that is out already it tells nothing of the zone
+            self.ends[zone] = ends[0], ends[1] + 1
+        w.in_row += 2 if refused else 1
         w.sound &= w.ejections == 0
-        seen = w.good + w.bad
+        seen = w.late.good + w.late.bad
         relapsed = w.ejections > 0 and now < w.out_until + w.out_for  # the first tries after a time out
         if now >= w.out_until and (relapsed or w.in_row >= self.conf.consecutive or (
-                seen >= self.conf.least and w.good < self.conf.success * seen)):
+                seen >= self.conf.least and w.late.good < self.conf.success * seen)):
             self._eject(now, w)
 
     def _eject(self, now: float, w: Watched) -> None:
         w.out_for = min(self.conf.ejected_most, self.conf.ejected_for * 2 ** min(w.ejections, 16))
         w.ejections, w.out_until, w.in_row, w.sound = w.ejections + 1, now + w.out_for, 0, False
 
+    def since_told(self, own: int) -> tuple[dict[int, tuple[int, int]], dict[int, Ends]]:
+        """The ends of each zone, and by place of each member of the own one, since the last call."""
+        zones = {z: ends for z, ends in enumerate(self.ends) if ends != (0, 0)}
+        members = {self.place[h]: (good, bad, round(took, 3))
+                   for h, (good, bad, took) in self.by_member.items() if self.zone_of[h] == own}
+        self.ends, self.by_member = [(0, 0) for _ in self.zones], {}
+        return zones, members
+
+    def told(self, now: float, zone: int, parts: Mapping[int, float]) -> None:
+        """What a zone's instances have found together of its members; who is not named is not known.
+
+        One that is well with all others, and was put out here a while ago, is due for a trial.
+        """
+        for place, host in enumerate(self.zones[zone]):
+            part, w = parts.get(place, 1.0), self.watched[host]
+            if part < 1.0:
+                self.parts[host] = part
+                continue
+            self.parts.pop(host, None)
+            if place in parts and now < w.out_until and now > w.out_until - w.out_for + self.conf.ejected_for:
+                w.out_until = now
+
     def failing(self, now: float, host: str) -> bool:
         """Out, or on trial after it: until it has ended something well it counts as gone."""
         w = self.watched[host]
@@ -96,7 +118,8 @@
         that was tried longest ago comes first.
         """
         due = [h for h, w in self.watched.items() if (
-            now >= w.tried_at + TRIAL_EVERY and (doubted or (now >= w.out_until and not w.sound))
+            now >= w.tried_at + TRIAL_EVERY and (doubted or h in self.parts or (
+                now >= w.out_until and not w.sound))
             if self.zone_of[h] == own else
             now >= max(w.out_until, w.tried_at + TRIAL_FAR) and not w.sound)]
         if not due:
@@ -111,8 +134,9 @@
         In panic, with too few in health, what is seen of them counts for nothing: all are tried.
         """
         members = self.zones[zone]
-        out = sorted((h for h in members if now < self.watched[h].out_until),
-                     key=lambda h: self.watched[h].out_until, reverse=True)
+        gone = {h for h, part in self.parts.items() if part <= 0}
+        out = sorted((h for h in members if now < self.watched[h].out_until or h in gone),
+                     key=lambda h: (h in gone, self.watched[h].out_until), reverse=True)
         if len(members) - len(out) < self.conf.panic * len(members):
             return list(members)
         most = int(self.conf.ejected_share * len(members))
@@ -121,31 +145,27 @@
 
     def usual(self) -> float:
         """The time that a good end usually takes: the median over the members; 0 while nothing is known."""
-        known = sorted(w.mean() for w in self.watched.values() if w.took_n >= 1)
+        known = sorted(w.late.mean() for w in self.watched.values() if w.late.good >= 1)
         return known[(len(known) - 1) // 2] if known else 0.0  # where half are slow the others are usual
 
     def slowness(self, host: str, usual: float) -> float:
-        """How many times the usual time a member takes; 1 for one that is quicker or not known."""
-        mean = self.watched[host].mean()
-        return max(1.0, mean / usual) if usual > 0 else 1.0
+        """How many times the usual time a member takes, by what is seen here or told by its zone; 1 at
+        least."""
+        mean = self.watched[host].late.mean()
+        told = 1.0 / max(LEAST_PART, self.parts.get(host, 1.0))
+        return max(told, mean / usual) if usual > 0 else told
 
     def grade(self, now: float, zone: int) -> tuple[float, float]:
         """What this instance holds of a zone: the share of its capacity that is there, and its evidence."""
         usual, total, evidence = self.usual(), 0.0, 0.0
-        good = bad = 0.0
         members = self.zones[zone]
         for host in members:
             w = self.watched[host]
-            w.fade(now)
-            evidence += w.good + w.bad
-            good, bad = good + w.good_now, bad + w.bad_now
+            w.late.fade(now)
+            evidence += w.late.good + w.late.bad
             if self.failing(now, host):
                 evidence += 1.0  # that it is out was seen, however long ago
                 continue
-            seen, mean = w.good + w.bad, w.mean()
-            part = w.good / seen if seen > TRACE else 1.0
-            total += part * (usual / mean if mean > self.conf.slower * usual > 0 else 1.0)
-        share = total / max(1, len(members))
-        if good + bad >= 0.5:  # what goes wrong just now is seen before any one member is out
-            share = min(share, good / (good + bad))
-        return share, evidence
+            mean = w.late.mean(usual, ALONE_FEW)
+            total += usual / mean if mean > self.conf.slower * usual > 0 else 1.0
+        return total / max(1, len(members)), evidence
--- a/saltcart/locality/plan.py
+++ b/saltcart/locality/plan.py
@@ -3,18 +3,20 @@
 A plan is made of the plan before, the zones' summaries and the moment, and of nothing else: whoever makes it
 from the same comes to the same.  All instances use the plan with the highest number.
 
-Two things keep it from swinging.  Trust in a zone falls at once and comes back late: only after so long in
-unbroken health, longer after each fall, and in steps.  And a move that is small or soon after another waits,
-unless a zone has fallen.
+Two things keep it from swinging.  Trust in a zone falls at once, when what was seen can't be chance, and
+comes back late: only after so long in unbroken and proven health, longer after each fall, and in steps.  And
+a move that is small or soon after another waits, unless a zone has fallen.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
 
+from saltcart.locality.evidence import BEGUN, POOR, PROVEN, upper
 from saltcart.locality.reports import Summary
 from saltcart.locality.settings import LocalitySettings
 from saltcart.locality.sites import Sites
@@ -27,7 +29,10 @@
 ROUNDS = 4  # of handing out what is over to who still has room
 KEPT_BACK = 0.7  # of what the limit keeps back may be used up before work is moved again
 HOME_GAIN = 0.15  # of a zone's work that could be at home again: worth a move
+PRESSED = 1 / 3  # of the wait for recovery, that is left of it while work is refused
+MUCH = 50  # thousandths of a zone's work, refused: that is pressing
 AT_ONCE = 0.5  # seconds between two plans, whatever falls
+KEPT_FOR_CHANCE = 1.0  # deviations of one second's work that a zone keeps free while there is room elsewhere
 FORGIVEN = 4.0  # times the wait for recovery, in full trust, after which a fall is forgotten
 
 
@@ -100,25 +105,54 @@
     return plan
 
 
-def seen(conf: LocalitySettings, heard: Mapping[int, Heard], origin: int, target: int) -> float:
+def usual(heard: Mapping[int, Heard]) -> float:
+    """The share of good ends that zones have of late, by their own instances: that of the best third's last.
+
+    What most zones suffer from is no zone's trouble, and no work is moved for it.
+    """
+    ends = [h.summary.ends.get(z, (0.0, 0.0)) for z, h in heard.items()]
+    shares = sorted((good / (good + bad) if good + bad > 0 else 1.0 for good, bad in ends), reverse=True)
+    return shares[len(shares) // 3] if shares else 1.0
+
+
+def held(summary: Summary, target: int, common: float) -> float:
+    """The share of a zone's capacity that is there, as the instances of another or the same zone find it."""
+    if upper(*summary.ends.get(target, (0.0, 0.0))) < POOR * common:
+        return 0.0
+    return summary.grades.get(target, 1.0)
+
+
+def seen(conf: LocalitySettings, heard: Mapping[int, Heard], origin: int, target: int,
+         common: float = 1.0) -> float:
     """The share of the target's capacity that is there for the origin, as both find it.
 
     A zone that has fallen silent may be alive inside its borders and full of its own work: it gets none of
     another's.  One that has never spoken has no instances; what the origin finds itself is all there is.
+    ``common``: the share of good ends that is usual.
     """
-    own = heard[origin].summary.grades.get(target)
-    if origin == target:
-        return 1.0 if own is None else own
+    own = held(heard[origin].summary, target, common)
     other = heard.get(target)
-    if other is None:
-        return 1.0 if own is None else own
-    if other.ago > conf.stale:
-        return 0.0
-    return min(1.0 if own is None else own, other.summary.grades.get(target, 1.0))
+    if origin == target or other is None:
+        return own
+    return min(own, held(other.summary, target, common)) if other.ago <= conf.stale else 0.0
+
+
+def proof(heard: Mapping[int, Heard], target: int) -> float:
+    """The odds for the target's health, by its own instances; where none has work for it, nothing is
+    asked."""
+    other = heard.get(target)
+    return other.summary.odds if other is not None and other.summary.demand > 0 else PROVEN
+
 
+def follow(conf: LocalitySettings, before: Trust, now_seen: float, now: float, odds: float = PROVEN,
+           pressed: bool = False) -> Trust:
+    """Trust in the light of what is seen now: it falls at once and comes back late, in steps.
 
-def follow(conf: LocalitySettings, before: Trust, now_seen: float, now: float) -> Trust:
-    """Trust in the light of what is seen now: it falls at once and comes back late, in steps."""
+    ``odds``: those for the target's health, of the sequential test.  A wait begins when something speaks for
+    it and ends when it is proven, however long the few ends of a small zone take for that.  ``pressed``: work
+    is refused for want of room.  The wait keeps work from swinging that is served well elsewhere; what is
+    served nowhere has nothing to lose by a try, so it is shorter then.
+    """
     found, origin, target = round(now_seen * WHOLE), before.origin, before.target
     if found <= FELL:
         found = 0  # what is all but gone is gone: no work is to find that out
@@ -135,9 +169,10 @@
         return Trust(origin, target) if now >= before.next_at else before
     if found <= before.share + FELL // 2:
         return Trust(origin, target, before.share, before.falls, fell_at=fell)  # health must last
-    if before.next_at == 0 or found < before.level - FELL:  # a flapping zone is never well for long
+    if before.next_at == 0 or found < before.level - FELL or odds < BEGUN:  # never well for long: a flap
         return Trust(origin, target, before.share, before.falls, round(now + wait, 1), found, fell)
-    if now < before.next_at:
+    soon = wait * (1 - PRESSED) if pressed and before.share == 0 else 0.0
+    if now < before.next_at - soon or odds < PROVEN:
         return before
     share = min(found, before.share + round(conf.step * WHOLE))
     if share >= FULL:
@@ -145,23 +180,25 @@
     return Trust(origin, target, share, before.falls, round(now + conf.step_every, 1), before.level, fell)
 
 
-def allocate(sites: Sites, demand: list[float], room: list[float],
-             trust: Mapping[tuple[int, int], float]) -> dict[int, dict[int, int]]:
+def allocate(sites: Sites, demand: list[float], room: list[float], trust: Mapping[tuple[int, int], float],
+             keep: list[float] | None = None) -> dict[int, dict[int, int]]:
     """Rows of shares: near first, in measure, never more into a zone than there is room for.
 
     ``room``: requests a second that each zone can take in all; ``trust``: by origin and target, 1 where there
-    is none.  Rows that keep everything at home are left out.
+    is none; ``keep``: of the room, what others' work takes only when it finds no place else.  Rows that keep
+    everything at home are left out.
     """
     count = len(sites.zones)
     placed = [dict[int, float]() for _ in range(count)]
-    left, spare = list(demand), list(room)
-    for level in range(3):
+    left, spare, kept = list(demand), list(room), keep or [0.0] * count
+    for level, last in ((0, True), (1, False), (2, False), (1, True), (2, True)):
         for _ in range(1 if level == 0 else ROUNDS):
+            open_to = spare if last else [max(0.0, s - k) for s, k in zip(spare, kept)]
             wants = [dict[int, float]() for _ in range(count)]
             for o in range(count):
                 if left[o] <= 1e-9:
                     continue
-                reach = {t: spare[t] * trust.get((o, t), 1.0) if t != o else spare[t]
+                reach = {t: open_to[t] * trust.get((o, t), 1.0) if t != o else open_to[t]
                          for t in sites.levels[o][level]}
                 reach = {t: r for t, r in reach.items() if r > 1e-9}
                 whole = sum(reach.values())
@@ -169,10 +206,10 @@
             inflow = [sum(w.get(t, 0.0) for w in wants) for t in range(count)]
             for o in range(count):
                 for t, amount in wants[o].items():
-                    amount *= min(1.0, spare[t] / inflow[t])
+                    amount *= min(1.0, open_to[t] / inflow[t])
                     placed[o][t] = placed[o].get(t, 0.0) + amount
                     left[o] -= amount
-            spare = [max(0.0, spare[t] - min(spare[t], inflow[t])) for t in range(count)]
+            spare = [max(0.0, spare[t] - min(open_to[t], inflow[t])) for t in range(count)]
     rows = {}
     for o in range(count):
         if demand[o] <= 1e-9:
@@ -226,12 +263,13 @@
             now: float) -> Plan | None:
     """The plan that follows; None where the one before stands."""
     fresh = [o for o in range(len(sites.zones)) if o in heard and heard[o].ago <= conf.stale]
-    known = {(t.origin, t.target): t for t in before.trust}
+    known, common = {(t.origin, t.target): t for t in before.trust}, usual(heard)
+    pressed = any(before.refused(o) >= MUCH for o in before.rows)
     trust, fell, stepped = dict[tuple[int, int], Trust](), False, False
     for o in fresh:
         for t in range(len(sites.zones)):
             old = known.get((o, t), Trust(o, t))
-            new = follow(conf, old, seen(conf, heard, o, t), now)
+            new = follow(conf, old, seen(conf, heard, o, t, common), now, proof(heard, t), pressed)
             fell |= new.share < old.share
             stepped |= new.share > old.share
             if new != Trust(o, t):
@@ -241,8 +279,11 @@
             trust[pair] = old  # those cut off decide for themselves
     demand = [heard[o].summary.demand if o in fresh else 0.0 for o in range(len(sites.zones))]
     home = [trust[t, t].share / WHOLE if (t, t) in trust else 1.0 for t in range(len(sites.zones))]
-    room = [conf.limit * sites.capacity[t] * home[t] for t in range(len(sites.zones))]
-    rows = allocate(sites, demand, room, {pair: v.share / WHOLE for pair, v in trust.items()})
+    able = [sites.capacity[t] * home[t] for t in range(len(sites.zones))]
+    room = [conf.limit * a for a in able]
+    # The smaller a zone is, the further its work strays from the mean.
+    keep = [max(0.0, r - (a - KEPT_FOR_CHANCE * math.sqrt(a))) for r, a in zip(room, able)]
+    rows = allocate(sites, demand, room, {pair: v.share / WHOLE for pair, v in trust.items()}, keep)
     for o, row in before.rows.items():
         if o not in fresh:
             rows[o] = dict(row)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -167,7 +167,7 @@
 
 def test_a_lost_zone_is_left_by_all_processes_and_the_others_keep_their_work() -> None:
     async def play() -> None:
-        r = zones.Rig(zones.PLAYS[0], 1, instances=6)
+        r = zones.Rig(zones.PLAYS[0]._replace(instances=6), 1)
         async with r.opened():
             calls = asyncio.create_task(ask(r))
             try:
@@ -177,25 +177,48 @@
             finally:
                 calls.cancel()
 
-    async def ask(r: zones.Rig) -> None:
-        """A steady stream of requests, to each process in turn."""
-        tasks = set[asyncio.Task[None]]()
-        for n in range(100_000):
-            tasks.add(asyncio.create_task(r.request(0.0, n % r.instances)))
-            tasks = {t for t in tasks if not t.done()}
-            await asyncio.sleep(0.025)
-
-    async def holds(r: zones.Rig, wanted: Callable[[dict[str, Any]], bool]) -> None:
-        async with asyncio.timeout(2 * WAIT):
-            while True:
-                states = await r.states()
-                if all(s is not None and wanted(s["rows"]) for s in states):
-                    return
-                await asyncio.sleep(0.1)
+    asyncio.run(play())
+
+
+def test_a_process_that_nothing_reaches_keeps_the_plan_of_before_and_takes_up_the_new_one() -> None:
+    async def play() -> None:
+        r = zones.Rig(zones.PLAYS[0]._replace(instances=6), 1)
+        async with r.opened():
+            calls = asyncio.create_task(ask(r))
+            try:
+                r.links.set(Rule(stall=True), receiver=4)
+                await r.lose()
+                await holds(r, lambda rows: rows.keys() == {"z0"}, but=4)
+                behind = (await r.states())[4]
+                assert behind is not None and behind["rows"] == {}
+                r.links.clear()
+                r.relay.release()
+                await holds(r, lambda rows: rows.keys() == {"z0"})
+            finally:
+                calls.cancel()
 
     asyncio.run(play())
 
 
+async def ask(r: zones.Rig) -> None:
+    """A steady stream of requests, to each process in turn."""
+    tasks = set[asyncio.Task[None]]()
+    for n in range(100_000):
+        tasks.add(asyncio.create_task(r.request(0.0, n % r.instances)))
+        tasks = {t for t in tasks if not t.done()}
+        await asyncio.sleep(0.025)
+
+
+async def holds(r: zones.Rig, wanted: Callable[[dict[str, Any]], bool], but: int | None = None) -> None:
+    """All processes hold such a plan, but for that one."""
+    async with asyncio.timeout(2 * WAIT):
+        while True:
+            states = await r.states()
+            if all(s is not None and wanted(s["rows"]) for n, s in enumerate(states) if n != but):
+                return
+            await asyncio.sleep(0.1)
+
+
 def test_members_have_as_many_clients_as_each_other_after_a_process_is_killed() -> None:
     async def play() -> None:
         r = subsets.Rig(1, instances=4)
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -11,7 +11,9 @@
 
 from saltcart.config import ConfigError
 from saltcart.deployment import read
-from saltcart.locality.instance import PLAN, ZONE, Demand, Locality
+from saltcart.locality.demand import QUICK, Demand, believed
+from saltcart.locality.evidence import BEGUN, MOST, POOR, PROVEN, Proof, Tally, parts, upper
+from saltcart.locality.instance import PLAN, ZONE, Locality
 from saltcart.locality.outliers import Outliers
 from saltcart.locality.plan import (
     WHOLE,
@@ -46,9 +48,12 @@
 
 
 def heard(demand: tuple[float, ...] = (20.0, 20.0, 20.0), ago: tuple[float, ...] = (0.1, 0.1, 0.1),
-          grades: Mapping[int, Mapping[int, float]] | None = None) -> dict[int, Heard]:
-    told = grades or {}
-    return {z: Heard(ago[z], Summary(z, 3, demand[z], dict(told.get(z, {})))) for z in range(3)}
+          grades: Mapping[int, Mapping[int, float]] | None = None,
+          ends: Mapping[int, Mapping[int, tuple[float, float]]] | None = None,
+          odds: float = PROVEN) -> dict[int, Heard]:
+    told, seen = grades or {}, ends or {}
+    return {z: Heard(ago[z], Summary(z, 3, demand[z], dict(told.get(z, {})), dict(seen.get(z, {})), odds))
+            for z in range(3)}
 
 
 # ---- shares -----------------------------------------------------------------------------------
@@ -91,6 +96,16 @@
     assert sum(row(100.0).values()) == 700  # what no zone has room for is refused
 
 
+def test_what_zones_keep_for_chance_is_taken_only_when_there_is_no_other_room() -> None:
+    def row(demand: float) -> Mapping[int, int]:
+        return row_of(allocate(sites(), [demand, 0.0, 0.0], [0.0, 20.0, 30.0], {}, [0.0, 15.0, 15.0]), A)
+
+    assert row(5.0) == {B: WHOLE}
+    assert row(20.0) == {B: 250, C: 750}
+    assert row(40.0) == {B: 500, C: 500}  # the last of it is near first again
+    assert sum(row(100.0).values()) == 500
+
+
 def test_a_zone_that_is_not_trusted_gets_nothing_from_who_does_not() -> None:
     rows = allocate(sites(), [40.0, 10.0, 10.0], [0.0, 36.0, 36.0], {(A, B): 0.0})
     assert rows[A] == {C: 650}
@@ -122,6 +137,38 @@
     assert rises == 0 and trust.share == 0
 
 
+@pytest.mark.parametrize("each", [1, 4, 40])
+def test_what_flaps_is_not_trusted_again_however_few_its_ends_are(each: int) -> None:
+    """Two seconds well, two not, and ``each`` ends in four seconds; a step is half a second."""
+    luck, trust, proof, rises = random.Random(each), Trust(A, A, 0, 1), Proof(), 0
+    for n in range(3600 * 2):
+        for _ in range(sum(luck.random() < each / 80 for _ in range(10))):
+            good = n // 4 % 2 == 1
+            proof.add(good, not good)
+        before, trust = trust.share, follow(CONF, trust, 1.0, 1000.0 + n / 2, proof.odds)
+        rises += trust.share > before
+    assert rises == 0 and trust.share == 0
+
+
+def test_health_is_proven_later_with_fewer_ends() -> None:
+    def after(rate: float) -> float:
+        trust, proof, now = Trust(A, A, 0, 1), Proof(), 0.0
+        while trust.share == 0:
+            now += 1 / rate
+            proof.add(1, 0)
+            trust = follow(CONF, trust, 1.0, 1000.0 + now, proof.odds)
+        return now
+
+    assert after(20.0) < CONF.recover_for + 1 < 25 < after(1.0) < 35 < after(0.5) < 65
+
+
+def test_while_work_is_refused_the_wait_is_shorter_but_still_needs_proof() -> None:
+    begun = follow(CONF, Trust(A, A, 0, 1), 1.0, 1000.0)
+    at = 1000.0 + CONF.recover_for / 2
+    assert follow(CONF, begun, 1.0, at).share == 0 < follow(CONF, begun, 1.0, at, PROVEN, True).share
+    assert follow(CONF, begun, 1.0, at, PROVEN - 0.1, True).share == 0
+
+
 def test_each_fall_of_late_doubles_the_wait_and_one_long_ago_does_not() -> None:
     def wait(falls: int) -> float:
         trust = follow(CONF, Trust(A, B, 0, falls), 1.0, 1000.0)
@@ -174,6 +221,39 @@
     assert C not in plan.rows[A] and plan.refused(A) > 0
 
 
+def test_a_zone_that_fails_is_left_before_any_of_its_members_is_out() -> None:
+    def home(good: float, bad: float) -> int:
+        plan = propose(CONF, sites(), Plan(), heard(ends={A: {A: (good, bad)}}), 1000.0)
+        return WHOLE if plan is None else plan.row(A).get(A, 0)
+
+    assert home(30.0, 30.0) == home(0.0, 12.0) == 0
+    assert home(100.0, 10.0) == home(3.0, 2.0) == home(0.0, 2.0) == WHOLE  # little, or chance
+
+
+def test_what_all_zones_suffer_from_moves_no_work() -> None:
+    ill = {z: {z: (30.0, 30.0)} for z in range(3)}
+    assert propose(CONF, sites(), Plan(), heard(ends=ill), 1000.0) is None
+    assert propose(CONF, sites(), Plan(), heard(ends={**ill, B: {B: (60.0, 0.0)}}), 1000.0) is None
+    rest = {z: {z: (60.0, 0.0)} for z in (B, C)}
+    one = propose(CONF, sites(), Plan(), heard(ends={A: ill[A], **rest}), 1000.0)
+    assert one is not None and one.rows.keys() == {A}
+
+
+def test_another_zones_work_goes_back_only_when_its_own_instances_have_proven_it_well() -> None:
+    plan = propose(CONF, sites(), Plan(), heard((60.0, 10.0, 10.0), grades={B: {B: 0.0}}), 1000.0)
+    assert plan is not None and B not in plan.row(A)
+
+    def later(odds: float, demand: float) -> int:
+        after, now = plan, 1000.0
+        while now < 1000.0 + 3 * CONF.recover_for:
+            now += 0.5
+            after = propose(CONF, sites(), after, heard((60.0, demand, 10.0), odds=odds), now) or after
+        return after.row(A).get(B, 0)
+
+    assert later(PROVEN - 1, 10.0) == 0 < later(PROVEN, 10.0)
+    assert later(0.0, 0.0) > 0  # it has no work of its own to prove it by
+
+
 def test_a_plan_is_read_as_it_was_written_and_what_is_none_is_malformed() -> None:
     plan = Plan(1000.0, {A: {B: 400, C: 100}}, [Trust(A, A, 0, 1, 1015.0, 900, 1000.0)])
     assert read_plan(encode(plan), 3) == plan and plan.refused(A) == 500 and plan.row(B) == {B: WHOLE}
@@ -253,17 +333,114 @@
     assert grade == pytest.approx(0.55, abs=0.02) and evidence > 50
 
 
-def test_a_zone_that_fails_just_now_is_seen_before_its_members_are_out() -> None:
+def test_one_slow_end_of_ones_own_is_chance() -> None:
     o = outliers()
-    for n in range(40):
-        o.ended(n * 0.05, f"a{n % 4 + 1}", True, 0.05)
-    for n in range(8):
-        o.ended(2.0 + n * 0.1, f"a{n % 4 + 1}", False, 0.0)
-    assert not any(o.failing(2.8, h) for h in o.watched) and o.grade(2.8, 0)[0] < 0.6
+    for host in ("a1", "a2", "a3", "a4"):
+        o.ended(0.0, host, True, 0.05)
+    o.ended(0.1, "a1", True, 0.9)
+    assert o.grade(0.2, 0)[0] == 1.0
+
+
+def test_ends_are_told_once_and_those_of_members_that_are_out_say_nothing_of_the_zone() -> None:
+    o = outliers()
+    o.ended(0.0, "a2", True, 0.25)
+    for _ in range(CONF.consecutive + 3):
+        o.ended(0.0, "a1", False, 1.0)
+    zones, members = o.since_told(0)
+    assert zones == {0: (1, CONF.consecutive)}
+    assert members == {1: (1, 0, 0.25), 0: (0, CONF.consecutive + 3, 0.0)}
+    assert o.since_told(0) == ({}, {})
+
+
+def test_what_the_zone_tells_of_a_member_counts_for_all_of_its_instances() -> None:
+    o = outliers()
+    o.told(0.0, 0, {0: 0.0, 1: 0.1})
+    assert o.able(0.0, 0) == ["a2", "a3", "a4"] and o.slowness("a2", 0.0) == pytest.approx(10.0)
+    assert o.on_trial(0.0, 0, False) in {"a1", "a2"}
+    o.told(0.5, 0, {})
+    assert len(o.able(0.5, 0)) == 4 and o.slowness("a2", 0.0) == 1.0
+    o.told(1.0, 0, {0: 0.0, 1: 0.0, 2: 0.0})
+    assert len(o.able(1.0, 0)) == 4  # panic: with so few left all are tried
+
+
+def test_a_member_that_is_well_with_all_others_is_tried_again_soon() -> None:
+    o, now = outliers(), 0.0
+    for _ in range(4):  # out for 24 seconds at last
+        for _ in range(CONF.consecutive):
+            o.ended(now, "a1", False, 0.0)
+        now = o.watched["a1"].out_until
+    began = now - o.watched["a1"].out_for
+    o.told(began + 1.0, 0, {0: 1.0})
+    assert o.on_trial(began + 1.0, 0, False) is None  # it was put out only now
+    o.told(began + 4.0, 0, {1: 1.0})
+    assert o.on_trial(began + 4.0, 0, False) is None  # of this one nothing was told
+    o.told(began + 4.0, 0, {0: 1.0})
+    assert o.on_trial(began + 4.0, 0, False) == "a1"
+
+
+# ---- evidence ---------------------------------------------------------------------------------
+
+
+COUNT = st.floats(0, 1000)
+
+
+@given(COUNT, COUNT, st.floats(0.1, 100))
+def test_the_kindest_reading_is_a_share_and_falls_with_bad_ends(good: float, bad: float, more: float) -> None:
+    kind = upper(good, bad)
+    assert 0 <= good / max(1e-9, good + bad) <= kind + 1e-9 and kind <= 1
+    assert upper(good, bad + more) <= kind + 1e-9 and upper(good + more, bad) >= kind - 1e-9
+
+
+def test_few_ends_prove_little_and_many_the_same_share() -> None:
+    assert upper(0.0, 2.0) > POOR > upper(0.0, 4.0)
+    assert upper(5.0, 5.0) > POOR > upper(50.0, 50.0)
+
+
+def test_a_tally_fades_with_time_and_holds_no_more_ends_than_it_may() -> None:
+    tally = Tally(4.0, 12.0)
+    tally.add(0.0, 10, 0, 1.0)
+    tally.fade(4.0)
+    assert (tally.good, tally.took) == (5.0, 0.5) and tally.mean() == pytest.approx(0.1)
+    for _ in range(20):
+        tally.add(4.0, 0, 1)
+    assert tally.good + tally.bad == pytest.approx(12.0) and tally.bad > 9
+    tally.add(4.0, 30, 0)
+    assert tally.bad == 0 and tally.good == 30  # all of what is told at once counts
+
+
+def test_the_proof_of_health_takes_some_thirty_good_ends_and_a_bad_one_costs_six() -> None:
+    proof, needed = Proof(), 0
+    while proof.odds < PROVEN:
+        proof.add(1, 0)
+        needed += 1
+    assert 25 <= needed <= 35
+    proof.add(0, 1)
+    assert proof.odds < PROVEN
+    for _ in range(6):
+        proof.add(1, 0)
+    assert proof.odds >= PROVEN
+    proof.add(1000, 0)
+    assert proof.odds == MOST
+    proof.add(0, 100)
+    assert proof.odds == 0.0 < BEGUN
+
+
+def test_members_are_judged_by_the_ends_of_all_instances() -> None:
+    ends = {0: (12, 0, 0.6), 1: (12, 0, 6.0), 2: (2, 10, 0.1), 3: (1, 1, 0.05), 4: (12, 0, 0.6)}
+    tallies = {place: Tally() for place in ends}
+    for place, (good, bad, took) in ends.items():
+        tallies[place].add(0.0, good, bad, took)
+    found = parts(tallies, CONF.slower, POOR)
+    assert found == {0: 1.0, 1: pytest.approx(0.12, abs=0.01), 2: 0.0, 4: 1.0}
+
+
+def test_a_change_of_demand_is_believed_when_it_is_more_than_chance() -> None:
+    assert believed(12.0, 10.0) == 10.0 and believed(20.0, 10.0) == 20.0 and believed(2.0, 10.0) == 2.0
+    assert believed(1100.0, 1000.0) == 1100.0
 
 
 def test_demand_is_told_rightly_from_the_start() -> None:
-    demand = Demand()
+    demand = Demand(QUICK)
     assert demand.rate(5.0) == 0.0
     for n in range(1, 401):  # ten a second
         demand.add(100.0 + n / 10)
@@ -387,7 +564,8 @@
 
 
 def test_reports_and_sums_are_read_as_written_and_what_is_none_is_malformed() -> None:
-    report, summary = Report(3.5, {A: (0.5, 9.0)}), Summary(A, 2, 7.0, {B: 0.25})
+    report = Report(3.5, 3.0, {A: (0.5, 9.0)}, {A: (3, 1)}, {1: (2, 1, 0.5)})
+    summary = Summary(A, 2, 7.0, {B: 0.25}, {A: (3.0, 1.0)}, 9.0, {0: 0.5})
     assert read_report(encode_report(report)) == report and read_summary(encode_report(summary)) == summary
     for reader in (read_report, read_summary):
         with pytest.raises(Malformed):
@@ -397,14 +575,30 @@
 
 
 def test_a_sum_weighs_by_evidence_and_forgets_the_stale() -> None:
-    collector = Collector(A, 4.0)
-    collector.take(0.0, "gone", Report(100.0, {A: (0.0, 1000.0)}))
-    collector.take(5.0, "one", Report(3.0, {A: (1.0, 30.0), B: (0.0, 1.0)}))
-    collector.take(5.0, "two", Report(4.0, {A: (0.0, 10.0)}))
+    collector = Collector(A, 2, CONF)
+    collector.take(0.0, "gone", Report(100.0, 100.0, {A: (0.0, 1000.0)}))
+    collector.take(5.0, "one", Report(3.0, 3.0, {A: (1.0, 30.0), B: (0.0, 1.0)}))
+    collector.take(5.0, "two", Report(4.0, 4.0, {A: (0.0, 10.0)}))
     summary = collector.summary(5.5)
     assert (summary.instances, summary.demand, summary.grades) == (2, 7.0, {A: 0.75})
 
 
+def test_what_each_saw_too_little_of_is_known_in_the_sum() -> None:
+    """Twenty instances with one end of each member: none could tell, all together can."""
+    collector = Collector(A, 2, CONF)
+    for n in range(20):
+        collector.take(5.0, f"i{n}", Report(1.0, 1.0, {A: (1.0, 2.0)}, {A: (1, 1), B: (1, 0)},
+                                            {0: (0, 1, 0.0), 1: (1, 0, 0.05), 7: (0, 1, 0.0)}))
+    summary = collector.summary(5.0)
+    assert summary.parts == {0: 0.0, 1: 1.0} and summary.grades[A] == 0.5
+    assert summary.ends == {A: (20.0, 20.0), B: (20.0, 0.0)} and summary.odds == 0.0
+    for n in range(40):
+        seen = {0: (1, 0, 0.05), 1: (1, 0, 0.05)}
+        collector.take(6.0 + n / 10, "i0", Report(1.0, 1.0, {A: (0.0, 9.0)}, {A: (2, 0)}, seen))
+    summary = collector.summary(10.0)
+    assert summary.parts == {0: 1.0, 1: 1.0} and summary.grades[A] == 1.0 and summary.odds >= PROVEN
+
+
 # ---- settings ---------------------------------------------------------------------------------
 
 
