Zones: what has no place is refused from the least worth upwards

Choosers are told the class. Reports tell of 30 members at most, the rest next time, so that large zones fit a packet; sums tell members in hundredths. Both stay readable by instances of the version before, and theirs by ours.

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -177,7 +177,8 @@
             from saltcart.net.nearby import Nearby
 
             self.nearby = Nearby(locality, known[locality.upstream], self.gossip,
-                                 upstreams.by_name[locality.upstream], seed + 1, self.log)
+                                 upstreams.by_name[locality.upstream], seed + 1, self.log,
+                                 {c.name: c.worth for c in self.service.settings.classes})
             self.service.figures.append(self.nearby.locality.figures)
         if fleet is not None:
             from saltcart.net.evenly import Evenly
--- a/saltcart/lab/zones.py
+++ b/saltcart/lab/zones.py
@@ -37,6 +37,7 @@
 HEARD = (0.2, 0.9)  # seconds until a post or report is there
 NOTICED = 3.0  # seconds after which members beyond a cut are out of the view
 TRIES = 3
+WORTHS, OFTEN = (1.0, 3.0, 10.0), (6, 3, 1)  # of requests, and how many in ten are worth that
 LOOK = 5.0  # seconds, a second after a move, in which what comes into a zone is held against its limit
 ALONE_HALF_LIFE = 0.7  # seconds: how long an end counts for an instance that decides alone
 CONF = LocalitySettings(upstream="work")
@@ -61,6 +62,8 @@
 class Seen:
     requests: int = 0
     good: int = 0
+    worth: float = 0.0  # of all requests, and of these
+    worth_good: float = 0.0  # of those that ended well
     home_healthy: int = 0  # requests of zones in health, and of these
     home_kept: int = 0  # those that their own zone served
     refused: int = 0
@@ -79,8 +82,8 @@
 class Policy:
     """How one instance places its requests."""
 
-    def arrived(self, now: float) -> None: ...
-    def choose(self, now: float, tried: set[str]) -> str | None:
+    def arrived(self, now: float, worth: float) -> None: ...
+    def choose(self, now: float, tried: set[str], worth: float) -> str | None:
         raise NotImplementedError
     def ended(self, now: float, host: str, good: bool, took: float, refused: bool = False) -> None: ...
     def tick(self, now: float) -> None: ...
@@ -97,8 +100,8 @@
         self.locality.changed = lambda plan, n, by: fleet.planned(plan)
         self.arrived, self.ended = self.locality.arrived, self.locality.ended  # type: ignore[method-assign]
 
-    def choose(self, now: float, tried: set[str]) -> str | None:
-        return self.locality.choose(now, tried, True)
+    def choose(self, now: float, tried: set[str], worth: float) -> str | None:
+        return self.locality.choose(now, tried, True, worth)
 
     def tick(self, now: float) -> None:
         self.locality.tick(now, now)
@@ -121,7 +124,7 @@
         self.hosts = [b.host for b in fleet.sites.backends]
         self.at = fleet.luck.randrange(len(self.hosts))
 
-    def choose(self, now: float, tried: set[str]) -> str | None:
+    def choose(self, now: float, tried: set[str], worth: float) -> str | None:
         self.at += 1
         return self.hosts[self.at % len(self.hosts)]
 
@@ -141,7 +144,7 @@
         share = ends.good / (ends.good + ends.bad) if ends.good + ends.bad >= 0.5 else 1.0
         return min(share, self.outliers.grade(now, zone)[0]) >= CONF.panic
 
-    def choose(self, now: float, tried: set[str]) -> str | None:
+    def choose(self, now: float, tried: set[str], worth: float) -> str | None:
         if not tried and (host := self.outliers.on_trial(now, self.own, False)) is not None:
             return host
         sound = [z for z in range(len(self.fleet.sites.zones)) if self.healthy(now, z)]
@@ -177,6 +180,7 @@
         self.seen_rows: dict[int, dict[int, int]] = {}
         self.instances = [POLICIES[policy](self, n) for n in range(day.instances)]
         self.inflow = np.zeros((int(day.seconds / STEP) + 2, count))
+        self.luck_of_worths = random.Random(f"{seed} worths")
         self.rng = np.random.default_rng([seed, day.instances])
         self.seen = Seen()
         self.served = Counter[int]()  # by half second, of the troubled zones' work
@@ -294,8 +298,10 @@
     def request(self, number: int) -> None:
         day, now, seen = self.day, self.now, self.seen
         instance, zone = self.instances[number], number % len(self.sites.zones)
-        instance.arrived(now)
+        worth = self.luck_of_worths.choices(WORTHS, OFTEN)[0]
+        instance.arrived(now, worth)
         seen.requests += 1
+        seen.worth += worth
         half = int(now * 2)
         hurt = self._hurt(zone)
         healthy = not hurt or not self.troubled()
@@ -304,7 +310,7 @@
         seen.home_healthy += healthy and not (hurt and now >= day.end)
         tried = set[str]()
         for _ in range(TRIES):
-            host = instance.choose(now, tried)
+            host = instance.choose(now, tried, worth)
             if host is None:
                 seen.refused += 1
                 return
@@ -328,6 +334,7 @@
                 instance.ended(self.now, h, g, t)))
             if good:
                 seen.good += 1
+                seen.worth_good += worth
                 self.served[half] += counted
                 self.home[half] += counted and target == zone
                 seen.home_kept += target == zone and healthy and not (hurt and now >= day.end)
--- a/saltcart/locality/instance.py
+++ b/saltcart/locality/instance.py
@@ -16,6 +16,7 @@
 from saltcart.locality.reports import Collector, Report, Summary, read_report, read_summary
 from saltcart.locality.reports import encode as encode_report
 from saltcart.locality.settings import LocalitySettings
+from saltcart.locality.shed import Shed
 from saltcart.locality.sites import Sites
 from saltcart.member.record import Record
 
@@ -42,6 +43,7 @@
         self.fleet, self.load = fleet, load
         self.own = sites.number[zone]
         self.outliers = Outliers(conf, sites.members)
+        self.shed = Shed(rng)
         self.quick, self.steady = Demand(QUICK), Demand(STEADY)
         self.collector = Collector(self.own, len(sites.members[self.own]), conf)
         self.summaries: dict[int, tuple[float, Summary]] = {}  # and when each came
@@ -86,9 +88,9 @@
             return
         self.next_at = now + self.conf.report_every * (0.9 + 0.2 * self.rng.random())
         grades = {z: self.outliers.grade(now, z) for z in range(len(self.sites.zones))}
-        report = Report(round(self.quick.rate(now), 2), round(self.steady.rate(now), 2),
+        report = Report(round(self.quick.rate(now), 2),
                         {z: (round(g, 3), round(e, 1)) for z, (g, e) in grades.items() if e >= 0.5},
-                        *self.outliers.since_told(self.own))
+                        *self.outliers.since_told(self.own), round(self.steady.rate(now), 2))
         speakers = {z: name for z, name in self.fleet.speakers().items() if z in self.sites.number}
         spoken = speakers.get(self.zone)
         if spoken == self.name:
@@ -110,32 +112,38 @@
 
     # ---- requests -----------------------------------------------------------------------------
 
-    def arrived(self, now: float) -> None:
+    def arrived(self, now: float, worth: float = 1.0) -> None:
         """A request that this instance has to place."""
+        self.shed.arrived(now, worth)
         self.quick.add(now)
         self.steady.add(now)
         self.abroad = min(SAVED, self.abroad + ABROAD)
         self.trials = min(1.0, self.trials + TRIALS)
 
-    def zone_for(self) -> int | None:
+    def zone_for(self, worth: float = 1.0) -> int | None:
         """A zone drawn by the plan; None for work that no zone has room for: it is refused at once."""
-        drawn, row = self.rng.randrange(WHOLE), self.plan.row(self.own)
+        row = self.plan.row(self.own)
+        placed = sum(row.values())
+        if self.shed.refuses(worth, 1 - placed / WHOLE):
+            return None
+        drawn = self.rng.randrange(max(1, placed))
         for zone, share in row.items():
             drawn -= share
             if drawn < 0:
                 return zone
         return None
 
-    def choose(self, now: float, tried: set[str], safe: bool) -> str | None:
+    def choose(self, now: float, tried: set[str], safe: bool, worth: float = 1.0) -> str | None:
         """The member that a request goes to; ``tried``: those that proved that they never ran it.
 
-        ``safe``: it may run twice, so it may also find out whether a member is back.
+        ``safe``: it may run twice, so it may also find out whether a member is back.  ``worth``: of an answer
+        in time; where the plan has no room for all, those worth least are refused.
 
         A first try goes by the plan.  A further one stays in the zones of the plan while a member is left
         there, then goes to the nearest others, and of these tries there are few.
         """
         if not tried:
-            zone = self.zone_for()
+            zone = self.zone_for(worth)
             if zone is None:
                 self.refused += 1
                 return None
@@ -180,7 +188,8 @@
         row = self.plan.row(self.own)
         return [("locality.plan", self.number), ("locality.moves", self.moves),
                 ("locality.refused", self.refused), ("locality.home_permille", row.get(self.own, 0)),
-                ("locality.refused_permille", self.plan.refused(self.own))]
+                ("locality.refused_permille", self.plan.refused(self.own)),
+                ("locality.worth_refused", round(self.shed.worth_refused))]
 
     def state(self, now: float) -> dict[str, object]:
         zones = self.sites.zones
@@ -190,6 +199,12 @@
             "trust": [{"origin": zones[t.origin], "target": zones[t.target], "permille": t.share,
                        "falls": t.falls} for t in self.plan.trust],
             "grades": {z: round(self.outliers.grade(now, n)[0], 3) for n, z in enumerate(zones)},
-            "zones": {zones[z]: {"demand": s.demand, "instances": s.instances, "ago": round(now - at, 1)}
-                      for z, (at, s) in self.summaries.items()},
+            "zones": {zones[z]: self._told(now, z) for z in self.summaries},
             "placed": self.placed, "refused": self.refused}
+
+    def _told(self, now: float, zone: int) -> dict[str, object]:
+        at, told = self.summaries[zone]
+        members = self.sites.members[zone]
+        return {"demand": told.demand, "instances": told.instances, "ago": round(now - at, 1),
+                "odds": told.odds, "members": {members[n]: part / 100 for n, part in told.parts.items()
+                                               if part < 100 and n < len(members)}}
--- a/saltcart/locality/outliers.py
+++ b/saltcart/locality/outliers.py
@@ -16,6 +16,7 @@
 TRIAL_FAR = 10.0  # the same for a member of another zone
 HALF_LIFE = 3.0  # seconds: how long an end counts for a member
 ALONE_FEW = 5.0  # ends at the usual pace, taken for seen of each member: one's own few slow ends are chance
+MOST_MEMBERS = 30  # that one report tells of
 LEAST_PART = 0.01  # of its capacity, as which one counts that is gone and tried all the same
 FORGIVEN = 4.0  # times its last time out, in health, after which a relapse counts as the first
 
@@ -83,20 +84,27 @@
         w.ejections, w.out_until, w.in_row, w.sound = w.ejections + 1, now + w.out_for, 0, False
 
     def since_told(self, own: int) -> tuple[dict[int, tuple[int, int]], dict[int, Ends]]:
-        """The ends of each zone, and by place of each member of the own one, since the last call."""
+        """The ends of each zone, and by place of each member of the own one, since the last call.
+
+        Of members no more than fit a packet, those with the most ends first; the others are told next time.
+        """
         zones = {z: ends for z, ends in enumerate(self.ends) if ends != (0, 0)}
-        members = {self.place[h]: (good, bad, round(took, 3))
-                   for h, (good, bad, took) in self.by_member.items() if self.zone_of[h] == own}
-        self.ends, self.by_member = [(0, 0) for _ in self.zones], {}
+        mine = sorted((h for h in self.by_member if self.zone_of[h] == own),
+                      key=lambda h: self.by_member[h][:2], reverse=True)
+        told = {h: self.by_member[h] for h in mine[:MOST_MEMBERS]}
+        members = {self.place[h]: (good, bad, round(took, 3)) for h, (good, bad, took) in told.items()}
+        self.ends = [(0, 0) for _ in self.zones]
+        self.by_member = {h: self.by_member[h] for h in mine[MOST_MEMBERS:]}
         return zones, members
 
-    def told(self, now: float, zone: int, parts: Mapping[int, float]) -> None:
-        """What a zone's instances have found together of its members; who is not named is not known.
+    def told(self, now: float, zone: int, parts: Mapping[int, int]) -> None:
+        """What a zone's instances have found together of its members, in hundredths of their capacity.
 
-        One that is well with all others, and was put out here a while ago, is due for a trial.
+        Who is not named is not known.  One that is well with all others, and was put out here a while ago, is
+        due for a trial.
         """
         for place, host in enumerate(self.zones[zone]):
-            part, w = parts.get(place, 1.0), self.watched[host]
+            part, w = parts.get(place, 100) / 100, self.watched[host]
             if part < 1.0:
                 self.parts[host] = part
                 continue
--- a/saltcart/locality/reports.py
+++ b/saltcart/locality/reports.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from saltcart.locality.demand import believed
-from saltcart.locality.evidence import MEMBER_FADE, MEMBER_LAST, POOR, Proof, Tally, parts
+from saltcart.locality.evidence import MEMBER_FADE, MEMBER_LAST, POOR, PROVEN, Proof, Tally, parts
 from saltcart.locality.outliers import Ends
 from saltcart.locality.settings import LocalitySettings
 from saltcart.member.record import Record
@@ -32,10 +32,10 @@
     """
 
     quick: float
-    steady: float
     grades: dict[int, tuple[float, float]]
     ends: dict[int, tuple[int, int]] = {}
     members: dict[int, Ends] = {}
+    steady: float | None = None  # instances before 0.7 tell none, and nothing from the ends on
 
 
 class Summary(msgspec.Struct, array_like=True, frozen=True):
@@ -51,8 +51,8 @@
     demand: float
     grades: dict[int, float]
     ends: dict[int, tuple[float, float]] = {}
-    odds: float = 0.0
-    parts: dict[int, float] = {}
+    odds: float = PROVEN  # what a speaker before 0.7 does not tell, is not asked for
+    parts: dict[int, int] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -117,7 +117,8 @@
         sums: dict[int, tuple[float, float]] = {}
         quick = steady = 0.0
         for _, report in self.reports.values():
-            quick, steady = quick + report.quick, steady + report.steady
+            quick += report.quick
+            steady += report.quick if report.steady is None else report.steady
             for zone, (grade, evidence) in report.grades.items():
                 total, weight = sums.get(zone, (0.0, 0.0))
                 sums[zone] = total + grade * evidence, weight + evidence
@@ -133,4 +134,4 @@
             grades[self.zone] = round((sum(found.values()) + rest) / self.members, 3)
         told = sorted(found.items(), key=lambda item: item[1])[:MOST_PARTS]
         return Summary(self.zone, len(self.reports), round(believed(quick, steady), 2), grades, ends,
-                       round(self.proof.odds, 1), dict(told))
+                       round(self.proof.odds, 1), {place: round(100 * part) for place, part in told})
--- a/saltcart/net/ajp.py
+++ b/saltcart/net/ajp.py
@@ -82,9 +82,9 @@
 class Chooser(Protocol):
     """Who decides on the member, where it is not just the one with the least to do."""
 
-    def arrived(self) -> bool:
+    def arrived(self, klass: str) -> bool:
         """A request has come; whether it is to be placed at all."""
-    def choose(self, tried: set[str], safe: bool) -> str | None: ...
+    def choose(self, klass: str, tried: set[str], safe: bool) -> str | None: ...
     def ended(self, host: str, good: bool, took: float, refused: bool) -> None: ...
 
 
@@ -158,9 +158,9 @@
                            until: float) -> tuple[Outcome, bytes]:
         tried, repeats = set[Member](), 0 if once else 1
         loop, chooser = asyncio.get_running_loop(), self.chooser
-        if chooser is not None and not chooser.arrived():
+        if chooser is not None and not chooser.arrived(klass):
             return Outcome.MOOT, b""
-        while (member := self._choose(tried, once)) is not None:
+        while (member := self._choose(klass, tried, once)) is not None:
             tried.add(member)
             sent, good, refused = loop.time(), False, False
             try:
@@ -184,9 +184,9 @@
             return (Outcome.OK, response.body) if response.status == 200 else (Outcome.ERROR, b"")
         return Outcome.MOOT, b""  # every member proved that it never ran
 
-    def _choose(self, tried: set[Member], once: bool) -> Member | None:
+    def _choose(self, klass: str, tried: set[Member], once: bool) -> Member | None:
         if self.chooser is not None:
-            host = self.chooser.choose({m.host for m in tried}, not once)
+            host = self.chooser.choose(klass, {m.host for m in tried}, not once)
             return None if host is None else self.by_host.get(host)
         now = asyncio.get_running_loop().time()
         fresh = [m for m in self.members if m not in tried]
--- a/saltcart/net/evenly.py
+++ b/saltcart/net/evenly.py
@@ -44,10 +44,10 @@
 
     # ---- the upstream's chooser ---------------------------------------------------------------
 
-    def arrived(self) -> bool:
+    def arrived(self, klass: str) -> bool:
         return self.together.arrived(self.loop.time())
 
-    def choose(self, tried: set[str], safe: bool) -> str | None:
+    def choose(self, klass: str, tried: set[str], safe: bool) -> str | None:
         return self.together.choose(self.loop.time(), tried)
 
     def ended(self, host: str, good: bool, took: float, refused: bool) -> None:
--- a/saltcart/net/nearby.py
+++ b/saltcart/net/nearby.py
@@ -22,9 +22,11 @@
     """The chooser of one upstream whose members are in zones."""
 
     def __init__(self, conf: LocalitySettings, upstream: UpstreamConf, gossip: Gossip, runs: AjpUpstream,
-                 seed: int, log: Log) -> None:
+                 seed: int, log: Log, worths: Mapping[str, float]) -> None:
+        """``worths``: by class, of an answer in time; what is no class of ours counts as the least."""
         super().__init__(gossip, log)
-        self.runs = runs
+        self.runs, self.worths = runs, worths
+        self.least = min(worths.values(), default=1.0)
         self.spoken, self.spoken_at = dict[str, str](), -1
         sites = Sites(Backend(m.host, m.zone, m.region, m.capacity) for m in upstream.members)
         self.locality = Locality(conf, sites, gossip.name, gossip.conf.zone, random.Random(seed), self,
@@ -48,12 +50,12 @@
 
     # ---- the upstream's chooser ---------------------------------------------------------------
 
-    def arrived(self) -> bool:
-        self.locality.arrived(self.loop.time())
+    def arrived(self, klass: str) -> bool:
+        self.locality.arrived(self.loop.time(), self.worths.get(klass, self.least))
         return True
 
-    def choose(self, tried: set[str], safe: bool) -> str | None:
-        return self.locality.choose(self.loop.time(), tried, safe)
+    def choose(self, klass: str, tried: set[str], safe: bool) -> str | None:
+        return self.locality.choose(self.loop.time(), tried, safe, self.worths.get(klass, self.least))
 
     def ended(self, host: str, good: bool, took: float, refused: bool) -> None:
         self.locality.ended(self.loop.time(), host, good, took, refused)
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Mapping
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -31,6 +32,7 @@
 from saltcart.locality.reports import Collector, Report, Summary, firsts, read_report, read_summary
 from saltcart.locality.reports import encode as encode_report
 from saltcart.locality.settings import LocalitySettings, read_locality
+from saltcart.locality.shed import MOST_WORTHS, Shed
 from saltcart.locality.sites import Backend, Sites
 from saltcart.member.record import Record
 from saltcart.settings import WireError
@@ -382,12 +384,12 @@
 
 def test_what_the_zone_tells_of_a_member_counts_for_all_of_its_instances() -> None:
     o = outliers()
-    o.told(0.0, 0, {0: 0.0, 1: 0.1})
+    o.told(0.0, 0, {0: 0, 1: 10})
     assert o.able(0.0, 0) == ["a2", "a3", "a4"] and o.slowness("a2", 0.0) == pytest.approx(10.0)
     assert o.on_trial(0.0, 0, False) in {"a1", "a2"}
     o.told(0.5, 0, {})
     assert len(o.able(0.5, 0)) == 4 and o.slowness("a2", 0.0) == 1.0
-    o.told(1.0, 0, {0: 0.0, 1: 0.0, 2: 0.0})
+    o.told(1.0, 0, {0: 0, 1: 0, 2: 0})
     assert len(o.able(1.0, 0)) == 4  # panic: with so few left all are tried
 
 
@@ -398,11 +400,11 @@
             o.ended(now, "a1", False, 0.0)
         now = o.watched["a1"].out_until
     began = now - o.watched["a1"].out_for
-    o.told(began + 1.0, 0, {0: 1.0})
+    o.told(began + 1.0, 0, {0: 100})
     assert o.on_trial(began + 1.0, 0, False) is None  # it was put out only now
-    o.told(began + 4.0, 0, {1: 1.0})
+    o.told(began + 4.0, 0, {1: 100})
     assert o.on_trial(began + 4.0, 0, False) is None  # of this one nothing was told
-    o.told(began + 4.0, 0, {0: 1.0})
+    o.told(began + 4.0, 0, {0: 100})
     assert o.on_trial(began + 4.0, 0, False) == "a1"
 
 
@@ -581,6 +583,73 @@
     assert 400 < drawn.count(None) < 600 and instance.refused == drawn.count(None)
 
 
+def test_of_what_has_no_place_the_least_worth_is_refused() -> None:
+    town = Town(1)
+    instance = town.instances["i0"]
+    instance.posted(town.now, PLAN, 1, "x", encode(Plan(0.0, {A: {A: 300, B: 300}})))
+    luck, came, refused = random.Random(5), dict[float, int](), dict[float, int]()
+    for n in range(6000):
+        worth = luck.choice((1.0, 1.0, 2.0, 8.0))  # a half, a quarter, a quarter
+        instance.arrived(town.now + n / 50, worth)
+        gone = instance.choose(town.now + n / 50, set(), False, worth) is None
+        came[worth], refused[worth] = came.get(worth, 0) + 1, refused.get(worth, 0) + gone
+    assert sum(refused.values()) == pytest.approx(0.4 * 6000, rel=0.05)
+    assert refused[8.0] == 0
+    assert refused[2.0] < 0.03 * came[2.0] and refused[1.0] > 0.75 * came[1.0]
+    figures = dict(instance.figures())
+    assert figures["locality.worth_refused"] == pytest.approx(refused[1.0] + 2 * refused[2.0], abs=1)
+
+
+WORTHS = st.lists(st.sampled_from((0.5, 1.0, 3.0, 8.0)), min_size=10, max_size=200)
+
+
+@given(WORTHS, st.floats(0, 1))
+def test_the_share_is_kept_whatever_the_worths(worths: list[float], share: float) -> None:
+    shed = Shed(random.Random(1))
+    for worth in worths:
+        shed.arrived(1.0, worth)
+    chances = {worth: shed.chance(worth, share) for worth in sorted(set(worths))}
+    assert sum(chances[w] for w in worths) == pytest.approx(share * len(worths), abs=1e-6)
+    assert list(chances.values()) == sorted(chances.values(), reverse=True)
+
+
+def test_worths_without_end_take_no_memory_without_end() -> None:
+    shed = Shed(random.Random(1))
+    for n in range(5000):
+        shed.arrived(n / 1000, n / 7)
+    assert len(shed.came) <= MOST_WORTHS
+    assert shed.chance(1e9, 0.5) < shed.chance(0.0, 0.5) == 1.0
+    shed.arrived(10_000.0, 1.0)
+    assert shed.came == {1.0: 1.0}  # what is long past is forgotten
+    assert shed.chance(5.0, 0.3) == 0.3  # one request tells nothing of the others
+
+
+def test_reports_and_sums_of_large_zones_fit_a_packet() -> None:
+    o = Outliers(CONF, [[f"{z}-{m}" for m in range(200)] for z in range(9)])
+    for n in range(400):
+        for host in o.watched:
+            o.ended(n * 0.001, host, n % 3 > 0, 0.0123)
+    collector = Collector(0, 200, CONF)
+    told = set[int]()
+    for _ in range(7):
+        zones, members = o.since_told(0)
+        grades = {z: (round(g, 3), round(e, 1)) for z in range(9) for g, e in [o.grade(0.4, z)]}
+        report = Report(1234.56, grades, zones, members, 1234.56)
+        assert len(encode_report(report)) <= 900
+        collector.take(0.4, "i0", report)
+        told |= members.keys()
+    assert told == set(range(200))  # what did not fit was told later
+    assert len(encode_report(collector.summary(0.4))) <= 900
+
+
+def test_it_shows_what_zones_tell_of_their_members() -> None:
+    instance = Town(1).instances["i0"]
+    told = Summary(B, 3, 7.0, {B: 0.6}, {}, 4.5, {0: 20, 1: 100, 9: 0})
+    instance.posted(100.0, ZONE + "b", 1, "x", encode_report(told))
+    shown = instance.state(101.0)["zones"]
+    assert shown == {"b": {"demand": 7.0, "instances": 3, "ago": 1.0, "odds": 4.5, "members": {"b1": 0.2}}}
+
+
 def test_tries_in_zones_that_the_plan_does_not_name_are_few() -> None:
     town = Town(1)
     instance = town.instances["i0"]
@@ -592,8 +661,8 @@
 
 
 def test_reports_and_sums_are_read_as_written_and_what_is_none_is_malformed() -> None:
-    report = Report(3.5, 3.0, {A: (0.5, 9.0)}, {A: (3, 1)}, {1: (2, 1, 0.5)})
-    summary = Summary(A, 2, 7.0, {B: 0.25}, {A: (3.0, 1.0)}, 9.0, {0: 0.5})
+    report = Report(3.5, {A: (0.5, 9.0)}, {A: (3, 1)}, {1: (2, 1, 0.5)}, 3.0)
+    summary = Summary(A, 2, 7.0, {B: 0.25}, {A: (3.0, 1.0)}, 9.0, {0: 50})
     assert read_report(encode_report(report)) == report and read_summary(encode_report(summary)) == summary
     for reader in (read_report, read_summary):
         with pytest.raises(Malformed):
@@ -604,27 +673,49 @@
 
 def test_a_sum_weighs_by_evidence_and_forgets_the_stale() -> None:
     collector = Collector(A, 2, CONF)
-    collector.take(0.0, "gone", Report(100.0, 100.0, {A: (0.0, 1000.0)}))
-    collector.take(5.0, "one", Report(3.0, 3.0, {A: (1.0, 30.0), B: (0.0, 1.0)}))
-    collector.take(5.0, "two", Report(4.0, 4.0, {A: (0.0, 10.0)}))
+    collector.take(0.0, "gone", Report(100.0, {A: (0.0, 1000.0)}))
+    collector.take(5.0, "one", Report(3.0, {A: (1.0, 30.0), B: (0.0, 1.0)}))
+    collector.take(5.0, "two", Report(4.0, {A: (0.0, 10.0)}, steady=4.0))
     summary = collector.summary(5.5)
     assert (summary.instances, summary.demand, summary.grades) == (2, 7.0, {A: 0.75})
 
 
+def test_instances_of_the_version_before_are_understood_and_understand() -> None:
+    class Before(msgspec.Struct, array_like=True):  # the forms of 0.6
+        demand: float
+        grades: dict[int, tuple[float, float]]
+
+    class SumBefore(msgspec.Struct, array_like=True):
+        zone: int
+        instances: int
+        demand: float
+        grades: dict[int, float]
+
+    pack = msgspec.msgpack.encode
+    collector = Collector(A, 2, CONF)
+    collector.take(5.0, "old", read_report(pack(Before(3.0, {A: (1.0, 9.0)}))))
+    assert collector.summary(5.0).demand == 3.0
+    assert read_summary(pack(SumBefore(A, 2, 7.0, {B: 0.25}))).odds >= PROVEN
+    new = Report(3.5, {A: (0.5, 9.0)}, {A: (3, 1)}, {1: (2, 1, 0.5)}, 3.0)
+    assert msgspec.msgpack.decode(encode_report(new), type=Before) == Before(3.5, {A: (0.5, 9.0)})
+    told = encode_report(Summary(A, 2, 7.0, {B: 0.25}, {A: (3.0, 1.0)}, 9.0, {0: 50}))
+    assert msgspec.msgpack.decode(told, type=SumBefore) == SumBefore(A, 2, 7.0, {B: 0.25})
+
+
 def test_what_each_saw_too_little_of_is_known_in_the_sum() -> None:
     """Twenty instances with one end of each member: none could tell, all together can."""
     collector = Collector(A, 2, CONF)
     for n in range(20):
-        collector.take(5.0, f"i{n}", Report(1.0, 1.0, {A: (1.0, 2.0)}, {A: (1, 1), B: (1, 0)},
+        collector.take(5.0, f"i{n}", Report(1.0, {A: (1.0, 2.0)}, {A: (1, 1), B: (1, 0)},
                                             {0: (0, 1, 0.0), 1: (1, 0, 0.05), 7: (0, 1, 0.0)}))
     summary = collector.summary(5.0)
-    assert summary.parts == {0: 0.0, 1: 1.0} and summary.grades[A] == 0.5
+    assert summary.parts == {0: 0, 1: 100} and summary.grades[A] == 0.5
     assert summary.ends == {A: (20.0, 20.0), B: (20.0, 0.0)} and summary.odds == 0.0
     for n in range(40):
         seen = {0: (1, 0, 0.05), 1: (1, 0, 0.05)}
-        collector.take(6.0 + n / 10, "i0", Report(1.0, 1.0, {A: (0.0, 9.0)}, {A: (2, 0)}, seen))
+        collector.take(6.0 + n / 10, "i0", Report(1.0, {A: (0.0, 9.0)}, {A: (2, 0)}, seen))
     summary = collector.summary(10.0)
-    assert summary.parts == {0: 1.0, 1: 1.0} and summary.grades[A] == 1.0 and summary.odds >= PROVEN
+    assert summary.parts == {0: 100, 1: 100} and summary.grades[A] == 1.0 and summary.odds >= PROVEN
 
 
 # ---- settings ---------------------------------------------------------------------------------
