Storms: a caller's moment no longer keeps its whole balancer away

Found in core/service.py, `_turn_away`: a refused try's own moment, seconds away, was sent as Back-Off-Ms, and by the protocol's page that tells the balancer to stay away from the server with all that it carries: its cores stood idle.

Change: Back-Off-Ms and Final-Refusal are the module's again, the moment goes into Retry-After alone. A source is a crowd only in a storm or while far more is offered than can be done.

--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -439,9 +439,9 @@
         if r.state is State.HELD:
             answer = Answer(Verdict.REFUSED, back_off=a.stay_away, final=a.nowhere_else)
             if self.storms is not None and r.tried is not None:
-                back = self.storms.refused(self.now, r.tried.mark)
-                answer.come_back, answer.final = back.after, back.final
-                answer.back_off = min(back.after, self.settings.max_stay_away)
+                # The moment is this caller's own.  How long its balancer stays away from this server with all
+                # that it carries, and whether it may try others, is the module's to say.
+                answer.come_back = self.storms.refused(self.now, r.tried.mark).after
             self._answer(r, answer)
         else:  # what has run, or shares a run, is never refused
             self._answer(r, Answer(Verdict.FAILED))
--- a/saltcart/storm/damper.py
+++ b/saltcart/storm/damper.py
@@ -83,7 +83,10 @@
         self.weather.offered(now)
         count = self.sources.offered(now, source)
         part = self.sources.part(self.conf.over * self.capacity(now))
-        alone = len(self.sources.offers) < 2  # nobody else's place could be taken
+        # Nobody's place could be taken where there is nobody else, or room for all: a balancer that carries
+        # much is no crowd by that alone.
+        alone = len(self.sources.offers) < 2 or not (
+            self.storm(now) or self.weather.flooded(now, self.capacity(now)))
         # How early a source comes tells nothing here: behind one address there may be many callers.
         last = not alone and count > CROWD * part
         if not self.gate.admits(now, last, 0.0 if alone else weight(count, CROWD * part)):
--- a/saltcart/storm/weather.py
+++ b/saltcart/storm/weather.py
@@ -94,6 +94,10 @@
                 self.sky = Sky.CALM
         return self.sky
 
+    def flooded(self, now: float, capacity: float) -> bool:
+        """Whether far more is offered than can be done, storm or not."""
+        return self.offers.per_second(now) >= self.FLOOD * capacity
+
     def share(self, now: float) -> float:
         """Of what was read of late: what had been refused here before."""
         came = self.came.per_second(now)
--- a/tests/test_storm_parts.py
+++ b/tests/test_storm_parts.py
@@ -275,6 +275,20 @@
     assert seen["loud", Entry.STOP] > 1000 and seen["loud", Entry.LAST] > seen["loud", Entry.GO]
 
 
+def test_a_balancer_that_carries_much_is_no_crowd_while_there_is_room() -> None:
+    d = damper(reading=0.05)
+    for n in range(40):
+        d.throughput.run_ended(100.0 + n, 0.05, False)  # 20 a second and core
+    balancer, seen = d.source("balancer"), Counter[Entry]()
+    assert d.capacity(140.0) > 70
+    for n in range(600):  # 60 a second, and one a second from each of eight others
+        now = 140.0 + n / 60
+        seen[d.admits(now, balancer)] += 1
+        if n % 60 == 0:
+            assert all(d.admits(now, d.source(f"other {k}")) is Entry.GO for k in range(8))
+    assert seen == {Entry.GO: 600}
+
+
 def test_the_last_tokens_are_left_to_sources_that_come_seldom() -> None:
     """A flood's first second: nobody is known for a crowd yet, and a quiet source must still find a place."""
     d = damper(reading=0.25)
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -79,6 +79,23 @@
     assert answer.come_back >= 0.2 and answer.back_off <= 0.5
 
 
+def test_a_callers_moment_is_no_advice_to_its_balancer() -> None:
+    """Back-Off-Ms keeps a whole balancer away, Final-Refusal ends its search: the module's to say."""
+    told = list[tuple[float, bool]]()
+    for watched in (True, False):
+        w, _ = world(max_stay_away=30.0)
+        if not watched:
+            w.service.storms = None
+        w.service.leave(0.0)
+        w.until(w.now + 2.0)
+        for n in range(1, 40):  # the same work again and again, as in a storm
+            w.arrive(n, "read")
+        told += [(a.back_off, a.final) for n in range(1, 40) for a in w.answers[b"%016x" % n]]
+        moments = [a.come_back for n in range(1, 40) for a in w.answers[b"%016x" % n]]
+        assert all(m > 0 for m in moments) if watched else not any(moments)
+    assert told[:39] == told[39:]
+
+
 def test_a_failed_write_says_when_its_key_is_free() -> None:
     w, _ = world()
     w.arrive(1)
