Zones: large zones are filled further where work would be refused

Change: where work would be refused a zone takes up to `limit_pressed` (0.95), never nearer to its capacity than two deviations of a second's work. Zones of 60 a second take what they took.

--- a/saltcart/locality/plan.py
+++ b/saltcart/locality/plan.py
@@ -34,6 +34,7 @@
 GIVES_WAY = 10.0  # seconds after others' work has left, before a zone's own may leave it too
 AT_ONCE = 0.5  # seconds between two plans, whatever falls
 KEPT_FOR_CHANCE = 1.0  # deviations of one second's work that a zone keeps free while there is room elsewhere
+SAFE = 2.0  # deviations of one second's work that a zone keeps free in any case
 FORGIVEN = 4.0  # times the wait for recovery, in full trust, after which a fall is forgotten
 
 
@@ -261,6 +262,15 @@
     return any(_inflow(plan, demand, t) > r / conf.limit for t, r in enumerate(room))
 
 
+def pressed_room(conf: LocalitySettings, able: float) -> float:
+    """What a zone takes where work would else be refused.
+
+    A large one strays less from its mean and is filled up to where chance would overrun it; a small one up to
+    its limit as ever.
+    """
+    return max(conf.limit * able, min(conf.limit_pressed * able, able - SAFE * math.sqrt(able)))
+
+
 def guests(before: Plan, known: Mapping[tuple[int, int], Trust], summary: Summary, now: float) -> bool:
     """Whether a zone in trouble has others' work, or had until just now: it is that which leaves first.
 
@@ -301,7 +311,11 @@
     room = [conf.limit * a for a in able]
     # The smaller a zone is, the further its work strays from the mean.
     keep = [max(0.0, r - (a - KEPT_FOR_CHANCE * math.sqrt(a))) for r, a in zip(room, able)]
-    rows = allocate(sites, demand, room, {pair: v.share / WHOLE for pair, v in trust.items()}, keep)
+    trusted = {pair: v.share / WHOLE for pair, v in trust.items()}
+    rows = allocate(sites, demand, room, trusted, keep)
+    if any(WHOLE - sum(row.values()) >= MUCH for row in rows.values()):
+        room = [pressed_room(conf, a) for a in able]
+        rows = allocate(sites, demand, room, trusted)
     for o, row in before.rows.items():
         if o not in fresh:
             rows[o] = dict(row)
--- a/saltcart/locality/settings.py
+++ b/saltcart/locality/settings.py
@@ -21,6 +21,7 @@
     upstream: Annotated[str, Meta(min_length=1, max_length=64)]  # the one whose members are in zones
     enabled: bool = True
     limit: Share = 0.85  # of a zone's capacity, up to which work is planned into it
+    limit_pressed: Share = 0.95  # at most, while work would be refused: as far as a zone's size makes it safe
     # A member is failing after so many failures in a row, or below so large a share of good ends.
     consecutive: Annotated[int, Meta(ge=1, le=100)] = 5
     success: Share = 0.85
@@ -44,6 +45,8 @@
 def read_locality(raw: Mapping[str, Any]) -> LocalitySettings:
     """The table; ``WireError`` names the field and the reason."""
     conf = convert(raw, LocalitySettings, "locality")
+    if conf.limit_pressed < conf.limit:
+        raise WireError("locality.limit_pressed: less than limit")
     if conf.recover_most < conf.recover_for:
         raise WireError("locality.recover_most: less than recover_for")
     if conf.stale < 2 * conf.report_every:
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -284,6 +284,21 @@
     assert later(0.0, 0.0) > 0  # it has no work of its own to prove it by
 
 
+def test_where_work_would_be_refused_a_large_zone_is_filled_further_and_a_small_one_is_not() -> None:
+    def refused(size: float) -> int:
+        demand = (size, size, size)
+        plan = propose(CONF, sites(size * 0.55), Plan(), heard(demand, grades={A: {A: 0.0}}), 1000.0)
+        assert plan is not None
+        inflow = sum(plan.row(o).get(B, 0) for o in range(3)) * size / WHOLE
+        assert inflow <= CONF.limit_pressed * 1.1 * size + 0.01 * size
+        return sum(plan.refused(o) for o in range(3))
+
+    small, large, huge = refused(20.0), refused(1000.0), refused(20_000.0)
+    assert small == pytest.approx(1000 * (3 - 2 * 1.1 * CONF.limit), abs=15)
+    assert huge == pytest.approx(1000 * (3 - 2 * 1.1 * CONF.limit_pressed), abs=15)
+    assert huge < large < small
+
+
 def test_a_plan_is_read_as_it_was_written_and_what_is_none_is_malformed() -> None:
     plan = Plan(1000.0, {A: {B: 400, C: 100}}, [Trust(A, A, 0, 1, 1015.0, 900, 1000.0)])
     assert read_plan(encode(plan), 3) == plan and plan.refused(A) == 500 and plan.row(B) == {B: WHOLE}
@@ -750,6 +765,7 @@
         {"host": "127.0.0.1:1", "zone": "a", "region": "x", "capacity": 1},
         {"host": "127.0.0.1:2", "zone": "a", "region": "y", "capacity": 1}]}]}, "in two regions"),
     ({"locality": {"upstream": "work", "recover_most": 1.0}}, "locality.recover_most"),
+    ({"locality": {"upstream": "work", "limit_pressed": 0.5}}, "locality.limit_pressed"),
     ({"locality": {"upstream": "work", "stale": 0.6}}, "locality.stale")])
 def test_what_cannot_stand_is_told_with_field_and_reason(more: dict[str, object], reason: str) -> None:
     with pytest.raises(ConfigError, match=reason):
