One reading of peers' messages, one usual time and pace, and no unread sum in the shedding

Need: seven places decoded MessagePack and turned its errors into Malformed by themselves; the median of the members' times and the share of speed that a slow one has were written twice (outliers.usual and grade, evidence.parts); the shedding kept a sum of worth that nothing reads. Change: schema.unpack, evidence.usual_time and pace; the sum is gone. Behaviour as before, but for a packet's broken text, which all seven now refuse as one did. Nothing measured.

--- a/saltcart/fleet/classes.py
+++ b/saltcart/fleet/classes.py
@@ -13,6 +13,7 @@
 import msgspec
 import xxhash
 
+from saltcart.schema import unpack
 from saltcart.wire.errors import Malformed
 
 PARTS = 32  # posts that a table is told in: a change is told in the parts that it concerns
@@ -72,10 +73,7 @@
 
 def read_part(data: bytes, classes: int) -> dict[int, int]:
     """``Malformed`` for what is no part of a table of so many classes."""
-    try:
-        out = _decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise Malformed(f"not a part of a table: {error}") from None
+    out = unpack(_decoder, data, "part of a table")
     if any(not 0 <= c < classes for c in out.values()):
         raise Malformed("a table with a class that there is not")
     return out
--- a/saltcart/fleet/instance.py
+++ b/saltcart/fleet/instance.py
@@ -19,7 +19,7 @@
 from saltcart.fleet.turns import Retry, next_turn, place_of
 from saltcart.locality.demand import QUICK, Demand
 from saltcart.member.record import Record
-from saltcart.wire.errors import Malformed
+from saltcart.schema import unpack
 
 MEMBERS, INSTANCES, SUM, REPORT = "fleet/members/", "fleet/instances/", "fleet/sum/", "fleet/report"
 RETRY_FIRST, RETRY_MOST = 0.5, 8.0  # seconds until a member that refused is tried again; doubled each time
@@ -108,10 +108,7 @@
                     self.tables[kind][part] = read_part(data, self.classes)
                     self._moved()
         if topic.startswith(SUM) and topic.removeprefix(SUM).isdecimal():
-            try:
-                self.sums[int(topic.removeprefix(SUM))] = now, _sums.decode(data)
-            except msgspec.MsgspecError as error:
-                raise Malformed(f"not a sum: {error}") from None
+            self.sums[int(topic.removeprefix(SUM))] = now, unpack(_sums, data, "sum")
             self._confirm(now)
 
     def _moved(self) -> None:
@@ -135,10 +132,7 @@
     def given(self, now: float, sender: Record, topic: str, data: bytes) -> None:
         """``Malformed`` for a report that is none."""
         if topic == REPORT:
-            try:
-                self.reports[sender.name] = now, _tolds.decode(data)
-            except msgspec.MsgspecError as error:
-                raise Malformed(f"not a report: {error}") from None
+            self.reports[sender.name] = now, unpack(_tolds, data, "report")
 
     def tick(self, now: float) -> None:
         """Tell what is due, at this instance's own turn."""
--- a/saltcart/locality/evidence.py
+++ b/saltcart/locality/evidence.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 FADE = 4.0  # seconds: half-life of an end; two beats of a flap show, a second's burst is little
 MEMBER_FADE = 10.0  # seconds: the same for one member; but of its ends only so many of the last ones count,
@@ -72,22 +72,27 @@
         return (self.took + few * usual) / n if n > 0 else 0.0
 
 
+def usual_time(tallies: Iterable[Tally]) -> float:
+    """The time that an end usually takes: the median over the members; 0 while nothing good is known."""
+    known = sorted(t.mean() for t in tallies if t.good >= 1)
+    return known[(len(known) - 1) // 2] if known else 0.0  # where half are slow the others are usual
+
+
+def pace(tally: Tally, usual: float, few: float, slower: float) -> float:
+    """The share of a member's speed that it has: less than all from ``slower`` times the usual time on."""
+    mean = tally.mean(usual, few)
+    return usual / mean if mean > slower * usual > 0 else 1.0
+
+
 def parts(tallies: Mapping[int, Tally], slower: float, poor: float) -> dict[int, float]:
     """The share of its capacity that each member has, by all ends of its zone's instances.
 
     Nothing of those of which too few ends are known.  None if it ends too little well, less by its slowness
     from ``slower`` times the usual time on.
     """
-    times = sorted(t.mean() for t in tallies.values() if t.good >= 1)
-    usual = times[(len(times) - 1) // 2] if times else 0.0  # where half are slow the others are usual
-    out = dict[int, float]()
-    for place, tally in sorted(tallies.items()):
-        if tally.good + tally.bad < KNOWN:
-            continue
-        mean = tally.mean(usual, FEW)
-        slow = mean > slower * usual > 0
-        out[place] = 0.0 if upper(tally.good, tally.bad) < poor else round(usual / mean, 2) if slow else 1.0
-    return out
+    usual = usual_time(tallies.values())
+    return {place: 0.0 if upper(t.good, t.bad) < poor else round(pace(t, usual, FEW, slower), 2)
+            for place, t in sorted(tallies.items()) if t.good + t.bad >= KNOWN}
 
 
 class Proof:
--- a/saltcart/locality/outliers.py
+++ b/saltcart/locality/outliers.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from saltcart.locality.evidence import Tally
+from saltcart.locality.evidence import Tally, pace, usual_time
 from saltcart.locality.settings import LocalitySettings
 
 TRIAL_EVERY = 1.0  # seconds between two requests that one instance sends to a member on trial
@@ -152,9 +152,8 @@
         return [h for h in members if h not in excluded]
 
     def usual(self) -> float:
-        """The time that a good end usually takes: the median over the members; 0 while nothing is known."""
-        known = sorted(w.late.mean() for w in self.watched.values() if w.late.good >= 1)
-        return known[(len(known) - 1) // 2] if known else 0.0  # where half are slow the others are usual
+        """The time that an end usually takes, over the members of all zones."""
+        return usual_time(w.late for w in self.watched.values())
 
     def slowness(self, host: str, usual: float) -> float:
         """How many times the usual time a member takes, by what is seen here or told by its zone; 1 at
@@ -178,6 +177,5 @@
             if self.failing(now, host):
                 evidence += 1.0  # that it is out was seen, however long ago
                 continue
-            mean = w.late.mean(usual, ALONE_FEW)
-            total += usual / mean if mean > self.conf.slower * usual > 0 else 1.0
+            total += pace(w.late, usual, ALONE_FEW, self.conf.slower)
         return total / max(1, len(members)), evidence
--- a/saltcart/locality/plan.py
+++ b/saltcart/locality/plan.py
@@ -20,6 +20,7 @@
 from saltcart.locality.reports import Summary
 from saltcart.locality.settings import LocalitySettings
 from saltcart.locality.sites import Sites
+from saltcart.schema import unpack
 from saltcart.wire.errors import Malformed
 
 WHOLE = 1000  # shares are whole thousandths, so that all come to the same ones
@@ -94,10 +95,7 @@
 
 def read_plan(data: bytes, zones: int) -> Plan:
     """``Malformed`` for what is no plan of so many zones."""
-    try:
-        plan = _decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise Malformed(f"not a plan: {error}") from None
+    plan = unpack(_decoder, data, "plan")
     for origin, row in plan.rows.items():
         if not 0 <= origin < zones or any(not 0 <= t < zones or s < 0 for t, s in row.items()) or (
                 sum(row.values()) > WHOLE):
--- a/saltcart/locality/reports.py
+++ b/saltcart/locality/reports.py
@@ -16,7 +16,7 @@
 from saltcart.locality.outliers import Ends
 from saltcart.locality.settings import LocalitySettings
 from saltcart.member.record import Record
-from saltcart.wire.errors import Malformed
+from saltcart.schema import unpack
 
 EVIDENCE = 3.0  # ends of late below which an instance's grade of a zone is no word on it
 MOST_PARTS = 40  # members that a sum names, for it must fit a post
@@ -64,17 +64,11 @@
 
 
 def read_report(data: bytes) -> Report:
-    try:
-        return _reports.decode(data)
-    except msgspec.MsgspecError as error:
-        raise Malformed(f"not a report: {error}") from None
+    return unpack(_reports, data, "report")
 
 
 def read_summary(data: bytes) -> Summary:
-    try:
-        return _summaries.decode(data)
-    except msgspec.MsgspecError as error:
-        raise Malformed(f"not a summary: {error}") from None
+    return unpack(_summaries, data, "summary")
 
 
 def firsts(present: Iterable[Record]) -> dict[str, str]:
--- a/saltcart/locality/shed.py
+++ b/saltcart/locality/shed.py
@@ -21,7 +21,7 @@
         self.rng = rng
         self.came: dict[float, float] = {}  # faded requests by worth
         self.at = 0.0
-        self.worth_kept = self.worth_refused = 0.0
+        self.worth_refused = 0.0
 
     def arrived(self, now: float, worth: float) -> None:
         if now > self.at:
@@ -41,8 +41,6 @@
         refused = share > 0 and self.rng.random() < self.chance(worth, share)
         if refused:
             self.worth_refused += worth
-        else:
-            self.worth_kept += worth
         return refused
 
     def chance(self, worth: float, share: float) -> float:
--- a/saltcart/member/messages.py
+++ b/saltcart/member/messages.py
@@ -9,6 +9,7 @@
 
 from saltcart.member.board import MOST_DATA, Post
 from saltcart.member.record import Record, State
+from saltcart.schema import unpack
 from saltcart.wire.errors import Malformed
 
 WIRE = 1
@@ -90,10 +91,7 @@
 
 def decode(data: bytes) -> Packet:
     """``Malformed`` says what is wrong with a datagram."""
-    try:
-        packet = _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise Malformed(f"not a packet: {error}") from None
+    packet = unpack(_decoder, data, "packet")
     if packet.wire != WIRE:
         raise Malformed(f"wire version {packet.wire}")
     for record in (packet.sender, *packet.news):
--- a/saltcart/schema.py
+++ b/saltcart/schema.py
@@ -1,4 +1,6 @@
-"""Tables checked against a msgspec schema, with errors in the words of settings.py: place, field, reason.
+"""Tables and messages checked against a msgspec schema.
+
+A table's errors are in the words of settings.py: place, field, reason.
 
 Imported only by the parts that are on: a service without them has no msgspec.
 """
@@ -12,6 +14,7 @@
 import msgspec
 
 from saltcart.settings import WireError
+from saltcart.wire.errors import Malformed
 
 T = TypeVar("T")
 
@@ -24,3 +27,11 @@
         reason, _, path = str(error).partition(" - at `$")
         field = re.sub(r"^\.?", f"{where}.", path.rstrip("`")) if path else where
         raise WireError(f"{field}: {reason}") from None
+
+
+def unpack(decoder: msgspec.msgpack.Decoder[T], data: bytes, what: str) -> T:
+    """A peer's message; ``Malformed`` says that it is no ``what``, and why."""
+    try:
+        return decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise Malformed(f"not a {what}: {error}") from None
