One faded rate for storms and zones, and the lab's shares as properties

Need: storm.weather.Rate and locality's Demand faded a count in the same way, with ln 2 defined twice; the experiment on zones wrote the shares of what it had seen, and the pairs that agree, in up to four places. Change: core/rate.py holds Rate, which Demand counts with; Seen and Told tell their shares, zones.agreement the pairs. Behaviour as before.

--- a/saltcart/lab/faults/zones.py
+++ b/saltcart/lab/faults/zones.py
@@ -20,6 +20,7 @@
 from saltcart.lab.faults.members import CLASSES, LOOK
 from saltcart.lab.faults.programs import TOKEN, Program, call, fleet, settings, start_all
 from saltcart.lab.standins import Act, AjpStandIn, Asked
+from saltcart.lab.zones import agreement
 
 MEMBERS = 3  # of a zone
 RATE = 8.0  # requests a second of one instance
@@ -65,6 +66,14 @@
     apart: int = 0  # processes whose plan was another than the newest, when the stall ended
     plans: list[int] = field(default_factory=list)
 
+    @property
+    def success(self) -> float:
+        return self.good / self.requests
+
+    @property
+    def kept_local(self) -> float:
+        return self.home / max(1, self.healthy)
+
 
 class Site:
     """One member's work, whichever process asks for it."""
@@ -177,7 +186,7 @@
         states = [s for s in await self.states() if s is not None]
         told.plans = [s["plan"] for s in states]
         held = Counter(repr(sorted((z, sorted(row.items())) for z, row in s["rows"].items())) for s in states)
-        told.agree = sum(n * (n - 1) for n in held.values()) / (self.instances * (self.instances - 1))
+        told.agree = agreement(held, self.instances)
         for half in range(int(2 * play.begin), int(2 * play.end) - 2):
             span = range(half, half + 3)
             offered = sum(told.offered[h] for h in span)
--- a/saltcart/lab/nearness.py
+++ b/saltcart/lab/nearness.py
@@ -37,14 +37,13 @@
     for day in days(quick):
         for policy in POLICIES:
             s = seen[day.name, policy]
-            rows.append([day.name, policy, f"{s.good / s.requests:.4f}",
-                         f"{s.worth_good / s.worth:.4f}", f"{s.refused / s.requests:.4f}",
-                         f"{s.home_kept / max(1, s.home_healthy):.3f}", _span(s.failover), _span(s.back_home),
-                         str(s.moves), str(s.swings), str(s.overloads),
+            rows.append([day.name, policy, f"{s.success:.4f}", f"{s.worth_kept:.4f}",
+                         f"{s.refused / s.requests:.4f}", f"{s.kept_local:.3f}", _span(s.failover),
+                         _span(s.back_home), str(s.moves), str(s.swings), str(s.overloads),
                          f"{s.agree:.3f}" if policy == "common" else "-"])
     for name, t in told.items():
-        rows.append(["processes: " + name, "common", f"{t.good / t.requests:.4f}", "-", "-",
-                     f"{t.home / max(1, t.healthy):.3f}", _span(t.failover), "-", str(t.moves), str(t.swings),
+        rows.append(["processes: " + name, "common", f"{t.success:.4f}", "-", "-",
+                     f"{t.kept_local:.3f}", _span(t.failover), "-", str(t.moves), str(t.swings),
                      "-", f"{t.agree:.3f}"])
     curves: Curves = {name: {policy: seen[name, policy].lost_share for policy in POLICIES}
                       for name in ("zone lost", "half slow", "region lost")}
@@ -60,31 +59,26 @@
     ours = {day: s for (day, policy), s in seen.items() if policy == "common"}
     flap, lost = ours["flap"], ours["zone lost"]
 
-    def success(s: Seen) -> float:
-        return round(s.good / s.requests, 4)
-
-    def worth(s: Seen) -> float:
-        return round(s.worth_good / s.worth, 4)
-
+    everyone: list[Seen | rig.Told] = [*ours.values(), *told.values()]
     out: dict[str, Any] = {
-        "kept_local": round(min([s.home_kept / max(1, s.home_healthy) for s in ours.values()]
-                                + [t.home / max(1, t.healthy) for t in told.values()]), 3),
+        "kept_local": round(min(s.kept_local for s in everyone), 3),
         "failover_s": lost.failover, "failover_s_processes": told["zone lost"].failover,
         "overload_moves": sum(s.overloads for s in ours.values()),
         "flaps": round(flap.swings / flap.hours, 2),  # of the work that the flapping link carries
         "moves_on_flap_an_hour": round(flap.moves / flap.hours, 1),
-        "agree": round(min([s.agree for s in ours.values()] + [t.agree for t in told.values()]), 4),
-        "success": success(lost),
-        "success_processes": round(told["zone lost"].good / told["zone lost"].requests, 4),
-        "success_region_lost": success(ours["region lost"]), "worth_region_lost": worth(ours["region lost"]),
-        "success_half_slow": success(ours["half slow"])}
+        "agree": round(min(s.agree for s in everyone), 4),
+        "success": round(lost.success, 4), "success_processes": round(told["zone lost"].success, 4),
+        "success_region_lost": round(ours["region lost"].success, 4),
+        "worth_region_lost": round(ours["region lost"].worth_kept, 4),
+        "success_half_slow": round(ours["half slow"].success, 4)}
     for policy in ("alone", "even"):
         s, region, slow = seen["zone lost", policy], seen["region lost", policy], seen["half slow", policy]
-        out |= {f"kept_local_{policy}": round(min(
-            seen[day, policy].home_kept / max(1, seen[day, policy].home_healthy) for day in ours), 3),
-            f"failover_s_{policy}": s.failover, f"success_{policy}": success(s),
-            f"success_region_lost_{policy}": success(region), f"worth_region_lost_{policy}": worth(region),
-            f"success_half_slow_{policy}": success(slow),
+        out |= {
+            f"kept_local_{policy}": round(min(seen[day, policy].kept_local for day in ours), 3),
+            f"failover_s_{policy}": s.failover, f"success_{policy}": round(s.success, 4),
+            f"success_region_lost_{policy}": round(region.success, 4),
+            f"worth_region_lost_{policy}": round(region.worth_kept, 4),
+            f"success_half_slow_{policy}": round(slow.success, 4),
             f"over_seconds_{policy}": round(sum(seen[day, policy].over_seconds for day in ours), 1)}
     return out | {"over_seconds": round(sum(s.over_seconds for s in ours.values()), 1),
                   "instances": SIZE[quick], "seed": seed, "quick": quick}
--- a/saltcart/lab/zones.py
+++ b/saltcart/lab/zones.py
@@ -78,6 +78,23 @@
     hours: float = 0.0
     back_home: float | None = None  # seconds from the end of the trouble until its work is at home again
 
+    @property
+    def success(self) -> float:
+        return self.good / self.requests
+
+    @property
+    def kept_local(self) -> float:
+        return self.home_kept / max(1, self.home_healthy)
+
+    @property
+    def worth_kept(self) -> float:
+        return self.worth_good / self.worth
+
+
+def agreement(held: Counter[str], count: int) -> float:
+    """The share of all pairs of ``count`` that hold the same; ``held``: how many hold each."""
+    return sum(n * (n - 1) for n in held.values()) / (count * (count - 1))
+
 
 class Policy:
     """How one instance places its requests."""
@@ -374,8 +391,7 @@
         if isinstance(self.instances[0], Common):
             held = Counter(repr(sorted(i.locality.plan.rows.items())) for i in self.instances
                            if isinstance(i, Common))
-            pairs = day.instances * (day.instances - 1)
-            seen.agree = sum(n * (n - 1) for n in held.values()) / pairs
+            seen.agree = agreement(held, day.instances)
         seen.hours, seen.took = day.seconds / 3600, time.perf_counter() - begun
         return seen
 
--- a/saltcart/locality/demand.py
+++ b/saltcart/locality/demand.py
@@ -4,7 +4,8 @@
 
 import math
 
-LN2 = math.log(2)
+from saltcart.core.rate import LN2, Rate
+
 QUICK, STEADY = 6.0, 24.0  # seconds: half-lives of the two rates that are told
 SHORTEST = 1.0  # seconds: over less than that a rate is chance
 DEVIATIONS = 3.0  # between the two, before the quick one is believed
@@ -18,26 +19,18 @@
     """
 
     def __init__(self, half_life: float) -> None:
-        self.half_life, self.level, self.at = half_life, 0.0, 0.0
+        self.counted = Rate(half_life)
         self.begun: float | None = None
 
     def add(self, now: float) -> None:
-        if self.begun is None:
-            self.begun = self.at = now
-        self._fade(now)
-        self.level += 1
+        self.begun = now if self.begun is None else self.begun
+        self.counted.add(now)
 
     def rate(self, now: float) -> float:
         if self.begun is None:
             return 0.0
-        self._fade(now)
-        seen = 1 - 0.5 ** (max(SHORTEST, now - self.begun) / self.half_life)
-        return float(self.level * LN2 / self.half_life / seen)
-
-    def _fade(self, now: float) -> None:
-        if now > self.at:
-            self.level *= 0.5 ** ((now - self.at) / self.half_life)
-            self.at = now
+        seen: float = 1 - 0.5 ** (max(SHORTEST, now - self.begun) / self.counted.half_life)
+        return self.counted.per_second(now) / seen
 
 
 def believed(quick: float, steady: float) -> float:
--- a/saltcart/storm/gate.py
+++ b/saltcart/storm/gate.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable
 
-from saltcart.storm.weather import Rate
+from saltcart.core.rate import Rate
 
 CALM = 1.0  # of the capacity, let in at least while there is no storm
 READ_SHARE = 0.2  # of the cores may go into reading: where it is cheap the module chooses among more
--- a/saltcart/storm/sources.py
+++ b/saltcart/storm/sources.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 
-from saltcart.storm.weather import LN2
+from saltcart.core.rate import LN2
 
 HALF_LIFE = 3.0  # seconds
 GONE = 12.0  # seconds without an offer after which a source is no longer counted
--- a/saltcart/storm/weather.py
+++ b/saltcart/storm/weather.py
@@ -6,10 +6,8 @@
 from __future__ import annotations
 
 import enum
-from math import log
 
-
-LN2 = log(2)  # of a faded count: what it stands for is its half-life over this
+from saltcart.core.rate import LN2, Rate
 
 
 class Sky(enum.Enum):
@@ -17,29 +15,6 @@
     STORM = "storm"
 
 
-class Rate:
-    """Events a second, smoothed with a half-life."""
-
-    __slots__ = ("at", "half_life", "level")
-
-    def __init__(self, half_life: float) -> None:
-        self.half_life, self.level, self.at = half_life, 0.0, 0.0
-
-    def _fade(self, now: float) -> None:
-        if now > self.at:
-            self.level *= 0.5 ** min(1000.0, (now - self.at) / self.half_life)
-            self.at = now
-
-    def add(self, now: float, weight: float = 1.0) -> None:
-        self._fade(now)
-        self.level += weight
-
-    def per_second(self, now: float) -> float:
-        """The sum of faded weights over the time that they stand for."""
-        self._fade(now)
-        return self.level * LN2 / self.half_life
-
-
 class Weather:
     """The state, with hysteresis: a storm begins within half a second and ends after some quiet ones.
 
