Lab: one builder of a protocol request for the four plays on sockets

Need: the same head was written in four plays. Change: faults/programs.request, with each play's own size; ranks now have six decimals in all four.

--- a/saltcart/lab/faults/programs.py
+++ b/saltcart/lab/faults/programs.py
@@ -68,6 +68,17 @@
             caller.abort()
 
 
+def request(klass: str, number: int, body: bytes, budget: float, rank: float, account: str = "",
+            key: str = "", size_kb: int = 10) -> bytes:
+    """A request of the protocol on a connection of its own; ``budget`` in seconds from now."""
+    named = {"Request-Id": f"{number:016x}", "Account": account, "Received-At": f"{time.time() * 1000:.0f}",
+             "Budget-Ms": f"{budget * 1000:.0f}", "Footprint-Kb": str(size_kb),
+             "Priority-Rank": f"{rank:.6f}", "Once-Key": key, "Content-Length": str(len(body)),
+             "Connection": "close"}
+    head = "".join(f"{name}: {value}\r\n" for name, value in named.items() if value)
+    return f"POST /call/{klass} HTTP/1.1\r\nHost: lab\r\n{head}\r\n".encode() + body
+
+
 class Program:
     """One process of the program at a time, under one name."""
 
--- a/saltcart/lab/faults/subsets.py
+++ b/saltcart/lab/faults/subsets.py
@@ -18,7 +18,7 @@
 
 from saltcart.lab.faults.links import Links, Relay, Rule
 from saltcart.lab.faults.members import CLASSES, LOOK
-from saltcart.lab.faults.programs import TOKEN, Program, call, fleet, settings, start_all
+from saltcart.lab.faults.programs import TOKEN, Program, call, fleet, request, settings, start_all
 from saltcart.lab.standins import Act, AjpStandIn, Asked
 
 INSTANCES, MEMBERS, FIRST, GROUPS = 12, 8, 10, 2
@@ -141,10 +141,7 @@
 
         async def one(at: float, number: int, instance: int) -> None:
             await asyncio.sleep(max(0.0, begun + at - time.time()))
-            data = (f"POST /call/read HTTP/1.1\r\nHost: lab\r\nRequest-Id: {number:016x}\r\n"
-                    f"Account: rig\r\nReceived-At: {time.time() * 1000:.0f}\r\nBudget-Ms: 2000\r\n"
-                    f"Footprint-Kb: 5\r\nPriority-Rank: 0.5\r\nContent-Length: 1\r\n"
-                    f"Connection: close\r\n\r\nx").encode()
+            data = request("read", number, b"x", 2.0, 0.5, account="rig", size_kb=5)
             with suppress(OSError, TimeoutError):
                 await call(self.programs[instance].addresses["http"], data, 3.0)
 
--- a/saltcart/lab/faults/zones.py
+++ b/saltcart/lab/faults/zones.py
@@ -18,7 +18,7 @@
 
 from saltcart.lab.faults.links import Links, Relay, Rule
 from saltcart.lab.faults.members import CLASSES, LOOK
-from saltcart.lab.faults.programs import TOKEN, Program, call, fleet, settings, start_all
+from saltcart.lab.faults.programs import TOKEN, Program, call, fleet, request, settings, start_all
 from saltcart.lab.standins import Act, AjpStandIn, Asked
 from saltcart.lab.zones import agreement
 
@@ -206,11 +206,7 @@
         told.healthy += not hurt
         told.offered[int(2 * at)] += zone in play.hurt
         number = told.requests
-        data = (f"POST /call/read HTTP/1.1\r\nHost: lab\r\nRequest-Id: {number:016x}\r\n"
-                f"Account: rig\r\n"
-                f"Received-At: {time.time() * 1000:.0f}\r\nBudget-Ms: {DEADLINE * 1000:.0f}\r\n"
-                f"Footprint-Kb: 5\r\nPriority-Rank: {self.luck.random():.4f}\r\nContent-Length: 1\r\n"
-                f"Connection: close\r\n\r\nx").encode()
+        data = request("read", number, b"x", DEADLINE, self.luck.random(), account="rig", size_kb=5)
         try:
             answer = await call(self.programs[instance].addresses["http"], data, DEADLINE + 1)
         except (OSError, TimeoutError):
--- a/saltcart/lab/sockets.py
+++ b/saltcart/lab/sockets.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from contextlib import AsyncExitStack
 from pathlib import Path
 
 from saltcart.lab import offices
 from saltcart.lab.budgets import Play
 from saltcart.lab.dependency import ModelDependency
+from saltcart.lab.faults import programs
 from saltcart.lab.faults.programs import Program, call, fleet
 from saltcart.lab.standins import AjpStandIn, IndexStandIn, Model, StandIn
 
@@ -22,13 +22,8 @@
 
 
 def request(n: int, klass: str, rank: float, deadline: float) -> bytes:
-    body = b'{"n":%d}' % n
-    head = (f"POST /call/{klass} HTTP/1.1\r\nHost: lab\r\nRequest-Id: {n:016x}\r\n"
-            f"Received-At: {time.time() * 1000:.0f}\r\nBudget-Ms: {deadline * 1000:.0f}\r\n"
-            f"Footprint-Kb: 10\r\nPriority-Rank: {rank:.6f}\r\nContent-Length: {len(body)}\r\n")
-    if klass == "oddaja":
-        head += f"Once-Key: k{n}\r\n"
-    return head.encode() + b"Connection: close\r\n\r\n" + body
+    key = f"k{n}" if klass == "oddaja" else ""
+    return programs.request(klass, n, b'{"n":%d}' % n, deadline, rank, key=key)
 
 
 async def play(seed: int) -> dict[str, float]:
--- a/saltcart/lab/storm_sockets.py
+++ b/saltcart/lab/storm_sockets.py
@@ -21,7 +21,7 @@
 import orjson
 
 from saltcart.interface import Effect
-from saltcart.lab.faults.programs import Program, call, fleet, settings, start_all
+from saltcart.lab.faults.programs import Program, call, fleet, request, settings, start_all
 from saltcart.lab.standins import Act, AjpStandIn, Asked
 from saltcart.lab.storm import CLASSES, HURRY, KEYED, recovered
 
@@ -111,12 +111,8 @@
         """Another try of a piece of work: nothing marks it as one."""
         spec, self.serial = CLASSES[self.kinds[n]], self.serial + 1
         body = b'{"n":%d}' % (n if self.kinds[n] else -n)
-        head = (f"POST /call/{spec.name} HTTP/1.1\r\nHost: lab\r\nRequest-Id: {self.serial:016x}\r\n"
-                f"Received-At: {time.time() * 1000:.0f}\r\nBudget-Ms: {spec.deadline * 1000:.0f}\r\n"
-                f"Footprint-Kb: 10\r\nPriority-Rank: {n % 97 / 97:.4f}\r\nContent-Length: {len(body)}\r\n")
-        if self.kinds[n]:
-            head += f"Once-Key: k{n}\r\n"
-        return head.encode() + b"Connection: close\r\n\r\n" + body
+        return request(spec.name, self.serial, body, spec.deadline, n % 97 / 97,
+                       key=f"k{n}" if self.kinds[n] else "")
 
     async def client(self, n: int, programs: list[Program], begun: float) -> None:
         """One piece of work, tried without limit until it is served or the play is over."""
