Names of classes and tenants are the settings' own, whatever their characters

Nothing was in the service's log. Ruled out: the shared dependency and deep checks (the other tenants' classes were served alike). At fault: front/fields.py, NAME: a tenant with a space, or any name beyond [A-Za-z0-9._-]{1,64}, was answered 400 although the settings name it.

Change: a name is decoded (UTF-8, else Latin-1; the class with its percent escapes) and looked up in the settings, on both fronts. What can't be a name is found before anything listens, with field and reason and exit 2: an empty class, one that is no word of the pool's lines, two of one name, a tenant that no header can carry, a seed that is no number.

--- a/saltcart/config.py
+++ b/saltcart/config.py
@@ -15,6 +15,7 @@
 from saltcart.interface import Settings
 
 PLACE = re.compile(r"([A-Za-z0-9.-]{1,253}):(\d{1,5})\Z")
+HEXADECIMAL = re.compile(r"[0-9a-fA-F]{1,64}\Z")
 GAUGES = ("cpu_busy", "runnable", "mem_used", "sockets")
 
 
@@ -67,13 +68,15 @@
         wire = f.part("settings")
         names = wire.part("extra").array("gauges", [])
         seed = f.text("seed", "0")
+        if not HEXADECIMAL.match(seed):
+            raise WireError(f"config: field seed is not hexadecimal: {seed}")
         return Config(
             environment.get("BALANCER_NAME") or f.text("name"), place(f, "listen"), pool, announce, index,
             control, listen_fd, environment.get("TMPDIR") or None, int(seed, 16),
             f.number("stop_ms", 5000.0) / 1000,
             limits.integer("sockets", 1024, low=64), limits.number("memory_mb", 192.0, low=1),
             read_settings(wire), tuple(g if g in GAUGES else None for g in names))
-    except (WireError, ValueError) as error:
+    except WireError as error:
         raise ConfigError(str(error)) from None
 
 
--- a/saltcart/front/fields.py
+++ b/saltcart/front/fields.py
@@ -17,7 +17,8 @@
 NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,9})?\Z")
 DIGITS = re.compile(rb"[0-9]{1,15}\Z")
 PRINTABLE = re.compile(rb"[\x20-\x7e]{1,256}\Z")
-NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
+ESCAPE = re.compile(rb"%([0-9a-fA-F]{2})")
+LONGEST_NAME = 256  # bytes: where no tenants are told an account may be any, and is kept with its keys
 
 
 def number(headers: Mapping[bytes, bytes], name: bytes, default: float | None, low: float,
@@ -32,6 +33,16 @@
     return float(text)
 
 
+def name(text: bytes) -> str:
+    """A class or tenant as the settings write it, whatever characters a customer puts into names."""
+    if len(text) > LONGEST_NAME:
+        raise Unacceptable("class or account is no name")
+    try:
+        return text.decode()
+    except UnicodeDecodeError:  # a sender that writes its fields in the older way
+        return text.decode("latin-1")
+
+
 def read_ask(path: bytes, headers: Mapping[bytes, bytes], body: bytes, now: float) -> Ask:
     """A request as the core takes it; ``Unacceptable`` names the field that is wrong.
 
@@ -42,10 +53,9 @@
     ident = headers.get(b"request-id", b"")
     if not IDENT.match(ident):
         raise Unacceptable("request-id is not 16 hex digits")
-    klass = path.partition(b"?")[0].rpartition(b"/")[2].decode("latin-1")
-    account = headers.get(b"account", b"").decode("latin-1")
-    if not NAME.match(klass) or (account and not NAME.match(account)):
-        raise Unacceptable("class or account is not a name")
+    part = path.partition(b"?")[0].rpartition(b"/")[2]
+    klass = name(ESCAPE.sub(lambda found: bytes([int(found[1], 16)]), part))
+    account = name(headers.get(b"account", b""))
     key = headers.get(b"once-key")
     if key is not None and not KEY.match(key):
         raise Unacceptable("once-key is malformed")
--- a/saltcart/settings.py
+++ b/saltcart/settings.py
@@ -101,7 +101,7 @@
     services = f.array("services")
     if not services:
         raise WireError(f"{f.where}: field services is empty")
-    classes = []
+    classes: list[i.ClassSpec] = []
     for n, raw in enumerate(services):
         s = Fields(raw, f"{f.where}.services[{n}]")
         skip = skips[n] if n < len(skips) else 0.0
@@ -109,16 +109,27 @@
             raise WireError(f"{extra.where}: field classSkipWorth[{n}] is not a share")
         if n < len(calls) and not isinstance(calls[n], bool):
             raise WireError(f"{extra.where}: field callsByClass[{n}] is not true or false")
+        called = s.text("name")
+        if not called or any(c.isspace() or not c.isprintable() for c in called):
+            # It is a word of the pool's lines: what has a space there would be read as two.
+            raise WireError(f"{s.where}: field name is not a word")
+        if any(called == c.name for c in classes):
+            raise WireError(f"{s.where}: field name stands for two classes: {called}")
         classes.append(i.ClassSpec(
-            name=s.text("name"), effect=s.choice("effect", EFFECTS), aim=s.number("onTime", low=1e-6),
+            name=called, effect=s.choice("effect", EFFECTS), aim=s.number("onTime", low=1e-6),
             deadline=s.number("deadline", low=1e-6), worth=s.number("worth"),
             late_worth=s.number("lateValue", 0.0), window=s.number("memorySpan", 0.0),
             calls_below=n < len(calls) and calls[n], skip_worth=float(skip),
         ))
-    tenants = []
+    tenants: list[i.TenantSpec] = []
     for n, raw in enumerate(f.array("orgs", [])):
         t = Fields(raw, f"{f.where}.orgs[{n}]")
-        tenants.append(i.TenantSpec(t.text("name"), t.number("quotaPerS", 0.0), t.number("share", 0.0)))
+        called = t.text("name")
+        if not called or called != called.strip() or not called.isprintable():
+            raise WireError(f"{t.where}: field name is not one that a header can carry")
+        if any(called == known.name for known in tenants):
+            raise WireError(f"{t.where}: field name stands for two tenants: {called}")
+        tenants.append(i.TenantSpec(called, t.number("quotaPerS", 0.0), t.number("share", 0.0)))
     stays = limits.flag("retryAfter", False)
     return i.Settings(
         classes=tuple(classes), tenants=tuple(tenants), cores=extra.integer("cores", low=1),
