--- /dev/null
+++ b/saltcart/core/request.py
@@ -0,0 +1,36 @@
+"""One request from its reading to the end of its run."""
+
+from __future__ import annotations
+
+import enum
+
+from saltcart import interface as i
+from saltcart.core.keys import Key
+from saltcart.core.ports import Ask, Reply, Try
+
+
+class State(enum.Enum):
+    HELD = "held"
+    JOINED = "waits for another try's result"
+    RUNNING = "running"
+    PAUSED = "paused"
+    BLOCKED = "waits for leave to call"
+    CALLING = "at a call"
+
+
+OFF_POOL = (State.HELD, State.JOINED)
+
+
+class Request:
+    """One request from its reading to the end of its run."""
+
+    __slots__ = ("ask", "call_at", "call_body", "call_number", "due", "key", "notice", "number", "reply",
+                 "spec", "state", "stopped", "tried")
+
+    def __init__(self, number: int, ask: Ask, spec: i.ClassSpec, due: float, reply: Reply) -> None:
+        self.number, self.ask, self.spec, self.due = number, ask, spec, due
+        self.reply: Reply | None = reply  # None once the answer is given or the caller gone
+        self.state, self.stopped = State.HELD, False
+        self.key: Key | None = None
+        self.tried: Try | None = None  # where storms are watched for
+        self.notice, self.call_body, self.call_at, self.call_number = 0, b"", 0.0, 0
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import enum
 import itertools
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
@@ -14,8 +13,10 @@
 
 from saltcart import interface as i
 from saltcart.balance import HELD, Controller
-from saltcart.core.keys import Entry, Key, KeyTable, digest
-from saltcart.core.ports import Announce, Answer, Ask, Calls, Log, Reply, Runs, Storms, Try, Verdict
+from saltcart.core.keys import Entry, KeyTable, digest
+from saltcart.core.ports import Announce, Answer, Ask, Calls, Log, Reply, Runs, Storms, Verdict
+from saltcart.core.repeats import Repeats
+from saltcart.core.request import OFF_POOL, Request, State
 from saltcart.core.timers import Timers
 
 CALL_SLACK = 0.15  # a call that gets no reply in its time is given up this much later
@@ -31,33 +32,6 @@
     """The request breaks the protocol: nothing was taken, the front says so to its client."""
 
 
-class State(enum.Enum):
-    HELD = "held"
-    JOINED = "waits for another try's result"
-    RUNNING = "running"
-    PAUSED = "paused"
-    BLOCKED = "waits for leave to call"
-    CALLING = "at a call"
-
-
-OFF_POOL = (State.HELD, State.JOINED)
-
-
-class Request:
-    """One request from its reading to the end of its run."""
-
-    __slots__ = ("ask", "call_at", "call_body", "call_number", "due", "key", "notice", "number", "reply",
-                 "spec", "state", "stopped", "tried")
-
-    def __init__(self, number: int, ask: Ask, spec: i.ClassSpec, due: float, reply: Reply) -> None:
-        self.number, self.ask, self.spec, self.due = number, ask, spec, due
-        self.reply: Reply | None = reply  # None once the answer is given or the caller gone
-        self.state, self.stopped = State.HELD, False
-        self.key: Key | None = None
-        self.tried: Try | None = None  # where storms are watched for
-        self.notice, self.call_body, self.call_at, self.call_number = 0, b"", 0.0, 0
-
-
 class Service:
     """One server's requests, keys, timers, health and drain."""
 
@@ -83,10 +57,9 @@
         self.by_ident: dict[bytes, Request] = {}
         # A try may be read late: as long as its caller can wait at all.
         self.keys = KeyTable(max_keys, max(c.deadline for c in settings.classes))
+        self.repeats = Repeats(self.keys, settings.answer_slack, self._end_joined)
         self.good, self.idle_after = True, settings.idle or 30.0
         self.on_up: Callable[[], None] | None = None  # told once, when the pool is up
-        # Told of keys whose fate is settled, once another process has taken over; nothing is taken then.
-        self.heir: Callable[[Entry, bool], None] | None = None
         self.composed = frozenset[str]()  # classes whose answers are composed, and may be partial
         self.figures: list[Callable[[], Iterable[tuple[str, int]]]] = []  # further ones for the operators
         self.withdrawn = False  # the operators send callers away; what still comes is served as always
@@ -149,7 +122,7 @@
             if ask.ident in entry.idents:
                 raise Unacceptable("this id was used before")
             entry.idents.add(ask.ident)
-        if self.controller is None or self.heir is not None or (
+        if self.controller is None or self.repeats.heir is not None or (
                 key is not None and entry is None and self.keys.full()):
             self._answer(r, Answer(Verdict.REFUSED, back_off=UNSERVED_BACK_OFF))
             return r.number
@@ -231,11 +204,6 @@
 
     # ---- one process takes over from another --------------------------------------------------
 
-    def hand_over(self, heir: Callable[[Entry, bool], None]) -> Iterable[Entry]:
-        """Take nothing more; ``heir`` is told how the keys end that this process still answers for."""
-        self.heir = heir
-        return list(self.keys.entries.values())
-
     def load(self) -> i.Beside:
         """What is still on the cores and in the memory."""
         return i.Beside() if self.controller is None else self.controller.load()
@@ -245,10 +213,6 @@
         self._read_clock()
         self._feed(load)
 
-    def resume(self) -> None:
-        """Whoever took over is gone: go on."""
-        self.heir = None
-
     def retire(self, within: float) -> None:
         """Handed over and stopped soon: no drain, for the server stays, but all is answered before that."""
         self.timers.at(self._read_clock() + within - STOP_MARGIN, self._answer_all)
@@ -257,25 +221,13 @@
     def inherit(self, entry: Entry, gone: bool) -> None:
         """What the process before tells of one of its keys: further tries reach this one."""
         self._read_clock()
-        known = self.keys.entries.get(entry.key)
-        if known is None and not gone:
-            entry.holder = -next(self.numbers)  # no request of this process
-            self.keys.inherit(known := entry)
-        if known is None or known.holder > 0:
-            return
-        known.ran, known.over, known.result = entry.ran, entry.over or gone, entry.result
-        if gone:
-            self.keys.free(known)
-        if known.over:
-            self._serve_joined(known)
+        self.repeats.inherit(entry, gone, next(self.numbers))
 
     def bereave(self) -> None:
-        """The process before is gone: a run of a key that it has not told the end of may have begun."""
+        """The process before is gone, and with it what it ran."""
         self._read_clock()
         self._feed(i.Beside())
-        for entry in [e for e in self.keys.entries.values() if e.holder < 0 and not e.over]:
-            entry.over = True
-            self._fail_joined(entry)
+        self.repeats.bereave()
 
     # ---- from the pool and the calls ----------------------------------------------------------
 
@@ -315,12 +267,7 @@
             r.state = State.PAUSED  # still owed an answer, and may be taken up again
             self._feed(i.Finished(r.number, outcome, took))
             return
-        entry = self._entry_held_by(r)
-        if entry is not None:
-            entry.over, entry.result = True, result if outcome is i.Outcome.OK else None
-            if outcome is i.Outcome.MOOT and not r.notice:  # proof that nothing ran: the key is free
-                self.keys.never_ran(r.number)
-                self._fail_joined(entry)
+        self.repeats.ended(r, outcome, result)
         if self.storms is not None and outcome is i.Outcome.OK:
             self.storms.run_ended(self.now, took, self.held() > 0, self.load().on_core)
             if r.tried is not None:
@@ -397,7 +344,7 @@
             self.runs.proceed(r.ask.ident)
         elif r.state is State.HELD:
             late = self.drain_at is not None and r.ask.received > self.drain_at + self.settings.drain_grace
-            if late or not self._claim(r):
+            if late or not self.repeats.claim(r):
                 self.events.append(i.Finished(a.id, i.Outcome.MOOT, 0.0))
                 return
             r.state = State.RUNNING
@@ -407,23 +354,6 @@
                             r.spec.effect is not i.Effect.SAFE, due - self.now,
                             r.ask.received + r.spec.aim - self.now)
 
-    def _claim(self, r: Request) -> bool:
-        """The entry of a keyed request stands before its run starts, for the whole window."""
-        if r.key is None:
-            return True
-        entry = self.keys.find(r.key, r.ask.received)
-        if entry is not None and entry.holder != r.number:
-            return False
-        entry = self._keep_entry(r, r.ask.received + r.spec.window + self.settings.answer_slack)
-        entry.ran = True
-        return True
-
-    def _keep_entry(self, r: Request, until: float) -> Entry:
-        assert r.key is not None
-        entry = self.keys.keep(r.key, r.number, until, r.ask.body)
-        entry.idents.add(r.ask.ident)
-        return entry
-
     def _stop(self, a: i.Stop) -> None:
         r = self.requests.get(a.id)
         if r is not None and r.state is State.RUNNING and not r.stopped:
@@ -475,25 +405,17 @@
     def _keep(self, a: i.Keep) -> None:
         r = self.requests.get(a.id)
         if r is not None and r.key is not None:
-            self._keep_entry(r, self.now + a.span)
+            self.repeats.keep(r, self.now + a.span)
 
     def _release(self, a: i.Release) -> None:
-        entry = self.keys.release(a.id)
-        if entry is not None:
-            self._fail_joined(entry)
+        self.repeats.release(a.id)
 
     def _share(self, a: i.Share) -> None:
         r = self.requests.get(a.id)
         if r is None or r.reply is None:
             return
         r.state = State.JOINED
-        entry = None if r.key is None else self.keys.find(r.key, r.ask.received)
-        if entry is None or (entry.over and entry.result is None):
-            self._end_joined(r, None)
-        elif entry.over:
-            self._end_joined(r, entry.result)
-        else:
-            entry.joined.append(r.number)
+        self.repeats.join(r)
 
     def _health(self, a: i.Health) -> None:
         self.good = a.good
@@ -596,9 +518,6 @@
         """Requests whose answer is owed."""
         return sum(r.reply is not None for r in self.requests.values())
 
-    def _entry_held_by(self, r: Request) -> Entry | None:
-        return self.keys.by_holder.get(r.number) if r.key is not None else None
-
     def _give_up_call(self, r: Request) -> None:
         if self.calls is not None:
             self.calls.give_up(r.ask.ident)
@@ -616,28 +535,14 @@
         del self.by_ident[r.ask.ident]
         if r.tried is not None and self.held_marks.get(r.tried.mark) == r.number:
             del self.held_marks[r.tried.mark]
-        entry = self._entry_held_by(r)
-        if entry is not None:
-            if not entry.ran:
-                self.keys.release(r.number)
-            entry.over = True
-            self._fail_joined(entry) if entry.result is None else self._serve_joined(entry)
-
-    def _serve_joined(self, entry: Entry) -> None:
-        if self.heir is not None:
-            self.heir(entry, self.keys.entries.get(entry.key) is not entry)
-        joined, entry.joined = entry.joined, []
-        for number in joined:
-            r = self.requests.get(number)
-            if r is not None:
-                self._end_joined(r, entry.result)
-
-    def _fail_joined(self, entry: Entry) -> None:
-        entry.result = None
-        self._serve_joined(entry)
-
-    def _end_joined(self, r: Request, result: bytes | None) -> None:
-        served = result is not None
-        self._answer(r, Answer(Verdict.SERVED, result) if result is not None else Answer(Verdict.FAILED))
-        self._feed(i.Finished(r.number, i.Outcome.OK if served else i.Outcome.ERROR, 0.0))
+        self.repeats.settled(r)
+
+    def _end_joined(self, number: int, result: bytes | None) -> None:
+        """A try that waited for another one's result has it, or None where there is none to have."""
+        r = self.requests.get(number)
+        if r is None:
+            return
+        self._answer(r, Answer(Verdict.FAILED) if result is None else Answer(Verdict.SERVED, result))
+        outcome = i.Outcome.ERROR if result is None else i.Outcome.OK
+        self._feed(i.Finished(r.number, outcome, 0.0))
         self._settle(r)
--- a/saltcart/lab/storm.py
+++ b/saltcart/lab/storm.py
@@ -23,7 +23,7 @@
 
 from saltcart import interface as i
 from saltcart.core.ports import Answer, Ask, Verdict
-from saltcart.core.service import Request as CoreRequest
+from saltcart.core.request import Request as CoreRequest
 from saltcart.core.service import Service
 from saltcart.lab.events import Events, host
 from saltcart.storm.capacity import Strength
--- a/saltcart/succession.py
+++ b/saltcart/succession.py
@@ -151,7 +151,7 @@
         self.doorway.close()
         if self.announcer is not None:
             self.announcer.close()  # the entry is the new process's
-        for entry in self.service.hand_over(self._tell):
+        for entry in self.service.repeats.hand_over(self._tell):
             self._tell(entry, False)
         self._tell_load()
         link.send(wire.Packet("yours", {}))
@@ -201,7 +201,7 @@
         self.after = None
         if self.looking is not None:
             self.looking.cancel()
-        self.service.resume()
+        self.service.repeats.resume()
         for listener in self.fronts.values():
             listener.heir = None
             for connection in list(listener.connections):
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -80,7 +80,7 @@
     old.arrive(1)  # runs
     old.arrive(2, key=b"done")
     old.end(2, result=b"before")
-    for entry in old.service.hand_over(tell):
+    for entry in old.service.repeats.hand_over(tell):
         tell(entry, False)
     return old, new
 
@@ -188,7 +188,7 @@
                 async with running(None, platform, pool=other.address):
                     assert (await (await HttpClient(address).open()).ask(n)).status == 200
                     assert other.spawned[-1] == ident(n)
-                await until(lambda: old.service.heir is None)
+                await until(lambda: old.service.repeats.heir is None)
                 assert (await (await HttpClient(address).open()).ask(n + 1)).status == 200
                 assert pool.spawned[-1] == ident(n + 1)
 
@@ -207,9 +207,9 @@
             busy = await HttpClient(address).open()
             async with running(None, platform, pool=other.address):
                 pool.auto = False
-                await until(lambda: old.service.heir is not None)
+                await until(lambda: old.service.repeats.heir is not None)
                 old.leave(done.set)
-            await until(lambda: old.service.heir is None)
+            await until(lambda: old.service.repeats.heir is None)
             assert old.service.drain_at is not None and not done.is_set()
             pool.auto = True
             late = await HttpClient(address).open()
