Loops that must live are owned: a fault costs one turn, is logged and the loop goes on

Seen in the review of what can die unheard: the announcer's and the pool link's tasks caught OSError alone, and the task that owns the exception is referenced for good, so asyncio never told of it: an entry would lapse, or a pool link stay down, in a service that answers checks as good. A fault in carrying out one action of the module lost the others of the same event, among them its alarm. After a new process's death the old one's listener was opened again once; no free descriptor then meant no listener.

--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -243,7 +243,7 @@
         if self.make_storms is not None:
             self.storms = self.make_storms(settings, started)
         for action in self.controller.handle(started, i.Started()):
-            self.actions[type(action)](action)
+            self._act(action)
         self._announce()
         self.timers.at(now + 1.0, self._sweep_keys)
         if self.drain_at is not None:
@@ -320,7 +320,7 @@
         try:
             while self.events:
                 for action in self._decide(self.controller, self.events.popleft()):
-                    self.actions[type(action)](action)
+                    self._act(action)
         finally:
             self.busy = False
 
@@ -334,6 +334,13 @@
                 self.timers.at(self.now + AFTER_FAULT, self._ring, event.token)
             return []
 
+    def _act(self, action: i.Action) -> None:
+        """A fault in carrying out one action costs no other: an alarm not set would be the last one."""
+        try:
+            self.actions[type(action)](action)
+        except Exception as error:
+            self.log("action-fault", on=type(action).__name__, error=repr(error))
+
     def _run(self, a: i.Run) -> None:
         r = self.requests.get(a.id)
         if r is None or r.reply is None or r.state in (State.JOINED, State.BLOCKED, State.CALLING):
@@ -468,13 +475,13 @@
             self._settle(r)
 
     def _sweep_keys(self) -> None:
+        self.timers.at(self.now + 1.0, self._sweep_keys)  # first: a fault in one sweep must not be the last
         self.keys.sweep(self.now, self.requests.__contains__)
         for r in [r for r in self.requests.values() if r.reply is None and r.due + SURPLUS < self.now]:
             # Its end was never told.  What is kept by id must not grow with what a peer leaves unsaid.
             self.log("written-off", id=r.ask.ident.decode(), state=r.state.value)
             self.runs.suspend(r.ask.ident)
             self.run_ended(r.ask.ident, i.Outcome.CANCELLED, 0.0, b"")
-        self.timers.at(self.now + 1.0, self._sweep_keys)
 
     # ---- bookkeeping --------------------------------------------------------------------------
 
--- a/saltcart/net/ajp.py
+++ b/saltcart/net/ajp.py
@@ -14,6 +14,7 @@
 
 from saltcart.core.ports import Log
 from saltcart.interface import Outcome
+from saltcart.net.alive import Turns
 from saltcart.net.base import Connection, address
 from saltcart.wire import ajp
 from saltcart.wire.errors import Malformed
@@ -98,7 +99,7 @@
         self.chooser: Chooser | None = None
         self.tasks: dict[bytes, asyncio.Task[None]] = {}
         self.closed = False
-        self.sweeper: asyncio.TimerHandle | None = None
+        self.sweeper = Turns(SWEEP, self._sweep)
 
     def spawn(self, ident: bytes, klass: str, account: str, body: bytes, once: bool, within: float) -> None:
         if ident not in self.tasks:
@@ -115,8 +116,7 @@
     def close(self) -> None:
         """Give back the connections that carry nothing; the others go when their runs end."""
         self.closed = True
-        if self.sweeper is not None:
-            self.sweeper.cancel()
+        self.sweeper.stop()
         self._close_idle(0.0)
 
     def _close_idle(self, age: float) -> None:
@@ -128,8 +128,8 @@
 
     def _sweep(self) -> None:
         self._close_idle(IDLE)
-        resting = any(member.idle for member in self.members)
-        self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep) if resting else None
+        if not any(member.idle for member in self.members):
+            self.sweeper.stop()
 
     def _done(self, ident: bytes, task: asyncio.Task[None]) -> None:
         self.tasks.pop(ident, None)
@@ -214,8 +214,7 @@
                 connection.used = asyncio.get_running_loop().time()
                 member.idle.append(connection)
                 connection = None
-                if self.sweeper is None:
-                    self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+                self.sweeper.start()
             return answer
         finally:
             member.open -= 1
--- a/saltcart/net/announcer.py
+++ b/saltcart/net/announcer.py
@@ -7,6 +7,7 @@
 import orjson
 
 from saltcart.core.ports import Log
+from saltcart.net.alive import Kept
 from saltcart.net.base import Connection, address
 from saltcart.wire import http1
 from saltcart.wire.errors import Malformed
@@ -44,19 +45,17 @@
         self.changed = asyncio.Event()
         self.failing = False
         self.connection: ReportConnection | None = None
-        self.task: asyncio.Task[None] | None = None
+        self.kept = Kept("announcer", self._run, log)
 
     def accepting(self, on: bool) -> None:
         self.state = on
         self.changed.set()
 
     def start(self) -> None:
-        self.task = asyncio.get_running_loop().create_task(self._run())
+        self.kept.start()
 
     def close(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
+        self.kept.stop()
         if self.connection is not None:
             self.connection.close()
             self.connection = None
@@ -64,19 +63,18 @@
     def move(self, peer: str) -> None:
         """Another address from now on; it is told at once."""
         if peer != self.peer:
-            running = self.task is not None
+            running = self.kept.running
             self.close()
             self.peer = peer
             if running:  # else another process reports
                 self.resume()
 
     def resume(self) -> None:
-        if self.state is not None:
-            self.changed.set()
         self.start()
 
     async def _run(self) -> None:
-        await self.changed.wait()
+        while self.state is None:
+            await self.changed.wait()
         while True:
             self.changed.clear()
             pause = EVERY
--- a/saltcart/net/base.py
+++ b/saltcart/net/base.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from saltcart.core.ports import Log
+from saltcart.net.alive import Kept
 from saltcart.wire.buffer import Buffer
 
 
@@ -95,13 +96,13 @@
         self.name, self.peer, self.log = name, address(peer), log
         self.connection: LinkConnection | None = None
         self.ended = asyncio.Event()
-        self.task: asyncio.Task[None] | None = None
+        self.kept = Kept(f"{name} link", self._run, log)
 
     def make(self) -> LinkConnection:
         raise NotImplementedError
 
     def start(self) -> None:
-        self.task = asyncio.get_running_loop().create_task(self._run())
+        self.kept.start()
 
     def move(self, peer: str) -> None:
         """Another address from now on; what the old connection still had to say is asked for again."""
@@ -112,8 +113,7 @@
         self.start()
 
     def close(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
+        self.kept.stop()
         if self.connection is not None:
             self.connection.close()
             self.connection = None
--- a/saltcart/net/boarded.py
+++ b/saltcart/net/boarded.py
@@ -7,6 +7,7 @@
 from saltcart.core.ports import Log
 from saltcart.member.board import Post
 from saltcart.member.record import Record
+from saltcart.net.alive import Turns
 from saltcart.net.gossip import Gossip
 from saltcart.wire.errors import Malformed
 
@@ -21,13 +22,13 @@
         self.gossip, self.detector, self.log = gossip, gossip.detector, log
         self.loop = asyncio.get_running_loop()
         gossip.listeners.append(self)
-        self.handle = self.loop.call_later(TICK, self._tick)
+        self.turns = Turns(TICK, self._tick)
+        self.turns.start()
 
     def close(self) -> None:
-        self.handle.cancel()
+        self.turns.stop()
 
     def _tick(self) -> None:
-        self.handle = self.loop.call_later(TICK, self._tick)
         self.tick(self.loop.time())
         self.gossip.flush()
 
--- a/saltcart/net/index.py
+++ b/saltcart/net/index.py
@@ -11,6 +11,7 @@
 
 from saltcart.core.ports import CallEvents, Log
 from saltcart.interface import Outcome
+from saltcart.net.alive import Turns
 from saltcart.net.base import Connection, address
 from saltcart.wire import index as wire
 from saltcart.wire.errors import Malformed
@@ -88,7 +89,7 @@
         self.tasks = set[asyncio.Task[None]]()  # that connect
         self.idle: list[IndexConnection] = []  # the one used last is at the end
         self.waiting = deque[Call]()  # for a descriptor
-        self.sweeper: asyncio.TimerHandle | None = None
+        self.sweeper = Turns(SWEEP, self._sweep)
 
     # ---- the port -----------------------------------------------------------------------------
 
@@ -112,9 +113,7 @@
             self._close_idle(0.0)
 
     def close(self) -> None:
-        if self.sweeper is not None:
-            self.sweeper.cancel()
-            self.sweeper = None
+        self.sweeper.stop()
         self._close_idle(0.0)
         for call in list(self.calls.values()):
             self._finish(call)
@@ -193,8 +192,7 @@
             elif connection.transport is not None and not connection.transport.is_closing():
                 connection.used = asyncio.get_running_loop().time()
                 self.idle.append(connection)
-                if self.sweeper is None:
-                    self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+                self.sweeper.start()
         self.events.call_ended(call.ident, outcome, reply)
         self._serve_waiting()
 
@@ -230,4 +228,5 @@
 
     def _sweep(self) -> None:
         self._close_idle(IDLE)
-        self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep) if self.idle else None
+        if not self.idle:
+            self.sweeper.stop()
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from itertools import takewhile
 
+from saltcart.net.alive import Turns
 from saltcart.net.base import Connection, address
 
 
@@ -90,7 +91,7 @@
         self.resting: dict[ServerConnection, None] = {}
         self.blocked: dict[ServerConnection, float] = {}  # since when the peer reads nothing
         self.server: asyncio.Server | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.turns = Turns(self.SWEEP, self._sweep)
 
     async def open(self) -> str:
         sock = self._bound() if self.inherited is None else socket.socket(fileno=os.dup(self.inherited))
@@ -103,8 +104,7 @@
             sock.close()
             raise
         host, port = sock.getsockname()[:2]
-        if self.timer is None:
-            self._again()
+        self.turns.start()
         return f"{host}:{port}"
 
     def _bound(self) -> socket.socket:
@@ -149,14 +149,10 @@
     def close(self) -> None:
         """For the end of the process only: what is queued at the socket is lost with it."""
         self.stop_accepting()
-        if self.timer is not None:
-            self.timer.cancel()
+        self.turns.stop()
         for connection in list(self.connections):
             connection.close()
 
-    def _again(self) -> None:
-        self.timer = self.loop.call_later(self.SWEEP, self._sweep)
-
     def add(self, new: ServerConnection) -> None:
         """Near the descriptor limit another makes way: one that sends no request, or the one longest at rest.
 
@@ -201,4 +197,3 @@
             connection.close()
         for connection in [c for c, since in self.blocked.items() if since < stuck]:
             connection.abort()
-        self._again()
--- a/saltcart/succession.py
+++ b/saltcart/succession.py
@@ -186,13 +186,21 @@
         return True
 
     def _look(self) -> None:
-        self._tell_load()
+        passed = PASSES  # a fault in passing one must not end the passing of the others
+        try:
+            self._tell_load()
+            passed = self._pass_some()
+        finally:
+            self.looking = asyncio.get_running_loop().call_later(
+                NEXT if passed == PASSES else LOOK, self._look)
+
+    def _pass_some(self) -> int:
         passed = 0
         for listener in self.fronts.values():
             for connection in listener.in_order():
                 if isinstance(connection, FrontConnection) and passed < PASSES:
                     passed += connection.hand_over()
-        self.looking = asyncio.get_running_loop().call_later(NEXT if passed == PASSES else LOOK, self._look)
+        return passed
 
     def _resume(self, link: HandoverLink) -> None:
         """The new process is gone, and this one not: it serves on, or drains if it was told to stop."""
@@ -218,7 +226,13 @@
 
     async def _reopen(self) -> None:
         for listener in self.fronts.values():
-            await listener.open()
+            while not self.over:
+                try:
+                    await listener.open()
+                    break
+                except OSError as error:  # without a listener it would look well and serve nobody
+                    self.log("reopen-failed", error=str(error))
+                    await asyncio.sleep(LOOK)
         self._be_found()
         if self.announcer is not None:
             self.announcer.resume()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -10,6 +10,7 @@
 
 from saltcart.app import App
 from saltcart.config import Config, read_config
+from saltcart.core.ports import Log
 from saltcart.deployment import Deployment
 from saltcart.wire import ajp, http1
 from saltcart.wire.buffer import Buffer
@@ -108,9 +109,9 @@
 
 @asynccontextmanager
 async def running(deployment: Deployment | None = None, environment: dict[str, str] | None = None,
-                  **more: Any) -> AsyncIterator[App]:
+                  log: Log = lambda event, **fields: None, **more: Any) -> AsyncIterator[App]:
     conf: Config = read_config(raw_config(**more), environment or {})
-    app = App(conf, deployment or Deployment(), lambda event, **fields: None)
+    app = App(conf, deployment or Deployment(), log)
     await app.start()
     try:
         await until(lambda: app.service.healthy and app.ready())
--- a/tests/test_ajp.py
+++ b/tests/test_ajp.py
@@ -58,7 +58,7 @@
             used = app.upstreams.by_name["u"]
             for n in (1, 2):
                 assert (await client.ask(n)).body == b"good"
-                await until(lambda: not used.members[0].idle and used.sweeper is None)
+                await until(lambda: not used.members[0].idle and used.sweeper.handle is None)
                 assert len(server.writers) == n  # a new one each time: the one before was closed
 
     asyncio.run(play())
