The core's clock runs on evenly; the Unix clock is only what peers write by

Seen in the review: core/service.py took max(now, time.time()) and net/clock.py armed its one handle by the same clock: with the Unix clock set back by a minute no timer rang for that minute, so nothing held was answered by its due time, and all that came was taken as a minute old. Set forward, every wait and every key's window ended at once: a further try of a key would have run again. A request of a customer whose deadline is over a minute was refused once it was 60 s old.

Change: net/clock.Clock runs on the monotonic clock from the Unix time at the start; Received-At and the windows told at a takeover are moved by how far it is ahead. The ranges of Received-At, Budget-Ms and Work-Estimate follow the settings' longest deadline. Tests on both fronts fail on the Unix clock alone (seen).

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -22,7 +21,7 @@
 from saltcart.front.http import HttpConnection
 from saltcart.interface import Settings
 from saltcart.net.announcer import Announcer
-from saltcart.net.clock import Ticker
+from saltcart.net.clock import Clock, Ticker
 from saltcart.net.index import IndexClient
 from saltcart.net.listener import Listener
 from saltcart.net.pool import PoolLink
@@ -63,7 +62,7 @@
     """Owns the listeners, links and tasks; ``close`` gives all of them back."""
 
     def __init__(self, conf: Config, deployment: Deployment, log: Log,
-                 clock: Callable[[], float] = time.time) -> None:
+                 clock: Clock | None = None) -> None:
         self.conf, self.deployment, self.log = conf, deployment, log
         if deployment.plans is not None:
             check_plans(deployment.plans, conf)
@@ -75,7 +74,8 @@
             settings = replace(settings, over_quota_worth=0.0)
         # A quarter of the memory, at most, holds keys with their results.
         most_keys = min(MOST_KEYS, int(conf.memory_mb * 1024 / 4 / ENTRY_KB))
-        self.service = Service(settings, conf.gauges, conf.seed, clock, log, most_keys)
+        clock = clock or Clock()
+        self.service = Service(settings, conf.gauges, conf.seed, clock, log, most_keys, clock.ahead)
         self.service.hosted = hosted
         self.listeners: list[Listener] = []
         self.fronts: dict[str, Listener] = {}  # those of the clients
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -36,8 +36,11 @@
     """One server's requests, keys, timers, health and drain."""
 
     def __init__(self, settings: i.Settings, gauge_names: tuple[str | None, ...], seed: int,
-                 clock: Callable[[], float], log: Log, max_keys: int = 4096) -> None:
-        self.settings, self.seed, self.clock, self.log = settings, seed, clock, log
+                 clock: Callable[[], float], log: Log, max_keys: int = 4096,
+                 ahead: Callable[[], float] = lambda: 0.0) -> None:
+        """``clock`` runs on evenly; ``ahead`` is how far it is before the Unix clock that peers write by."""
+        self.settings, self.seed, self.clock, self.ahead, self.log = settings, seed, clock, ahead, log
+        self.longest = max(c.deadline for c in settings.classes)
         self.gauge_names, self.gauge_values, self.gauges_at = gauge_names, dict[str, float](), 0.0
         self.klass = {c.name: n for n, c in enumerate(settings.classes)}
         self.tenant = {t.name: n for n, t in enumerate(settings.tenants)}
@@ -56,7 +59,7 @@
         self.requests: dict[int, Request] = {}
         self.by_ident: dict[bytes, Request] = {}
         # A try may be read late: as long as its caller can wait at all.
-        self.keys = KeyTable(max_keys, max(c.deadline for c in settings.classes))
+        self.keys = KeyTable(max_keys, self.longest)
         self.repeats = Repeats(self.keys, settings.answer_slack, self._end_joined)
         self.good, self.idle_after = True, settings.idle or 30.0
         self.on_up: Callable[[], None] | None = None  # told once, when the pool is up
@@ -86,7 +89,7 @@
         return self.timers.next_due()
 
     def _read_clock(self) -> float:
-        self.now = max(self.now, self.clock())  # the Unix clock may be set back; the module's time may not
+        self.now = max(self.now, self.clock())
         return self.now
 
     # ---- from the fronts ----------------------------------------------------------------------
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -183,7 +183,7 @@
             self.respond(405, b"", (("Allow", "POST"),))
         else:
             try:
-                ask = read_ask(path, headers, body, self.service.clock())
+                ask = read_ask(path, headers, body, self.service)
                 ask.last = self.last
                 self.open = self.taking = True
                 number = self.service.arrive(ask, self.reply)
--- a/saltcart/front/fields.py
+++ b/saltcart/front/fields.py
@@ -7,11 +7,12 @@
 from collections.abc import Mapping
 
 from saltcart.core.ports import Ask
-from saltcart.core.service import Unacceptable
+from saltcart.core.service import Service, Unacceptable
 
 MAX_BODY = 2048
-LONGEST = 600_000.0  # milliseconds: no caller waits, and no work takes, longer than this
-OLDEST, NEWEST = 60.0, 5.0  # seconds before and after now in which a request can have come to the machine
+# What no request can say, unless the settings' longest deadline allows more: milliseconds that a caller waits
+# or that work takes, and seconds before and after now in which it came to the machine.
+LONGEST, OLDEST, NEWEST = 600_000.0, 60.0, 5.0
 IDENT = re.compile(rb"[0-9a-fA-F]{16}\Z")
 KEY = re.compile(rb"[\x21-\x7e]{1,128}\Z")
 NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,9})?\Z")
@@ -43,8 +44,8 @@
         return text.decode("latin-1")
 
 
-def read_ask(path: bytes, headers: Mapping[bytes, bytes], body: bytes, now: float) -> Ask:
-    """A request as the core takes it; ``Unacceptable`` names the field that is wrong.
+def read_ask(path: bytes, headers: Mapping[bytes, bytes], body: bytes, service: Service) -> Ask:
+    """A request as the core takes it, by the core's clock; ``Unacceptable`` names the field that is wrong.
 
     Every figure is held to its range: one that is not would be served on terms that no request has.
     """
@@ -62,9 +63,14 @@
     subject = headers.get(b"resource-key")
     if subject is not None and not PRINTABLE.match(subject):
         raise Unacceptable("resource-key is malformed")
-    budget = number(headers, b"budget-ms", math.nan, 0, LONGEST)
-    cost = number(headers, b"work-estimate", math.nan, 0, LONGEST)
-    received = number(headers, b"received-at", None, (now - OLDEST) * 1000, (now + NEWEST) * 1000) / 1000
+    longest = max(LONGEST, 2000 * service.longest)
+    budget = number(headers, b"budget-ms", math.nan, 0, longest)
+    cost = number(headers, b"work-estimate", math.nan, 0, longest)
+    ahead = service.ahead()
+    now = service.clock() - ahead  # on the Unix clock, by which the field is written
+    oldest = max(OLDEST, 2 * service.longest)
+    received = ahead + number(
+        headers, b"received-at", None, (now - oldest) * 1000, (now + NEWEST) * 1000) / 1000
     return Ask(
         ident, klass, account, received, None if math.isnan(budget) else budget / 1000,
         number(headers, b"footprint-kb", None, 1e-9, math.nextafter(2000, 0)),
--- a/saltcart/net/clock.py
+++ b/saltcart/net/clock.py
@@ -1,12 +1,34 @@
-"""Runs the core's timers on the event loop."""
+"""The core's clock, and its timers on the event loop."""
 
 from __future__ import annotations
 
 import asyncio
+import time
+from collections.abc import Callable
 
 from saltcart.core.service import Service
 
 
+class Clock:
+    """Seconds since 1970 at the start, and on evenly from there, whatever is done to the Unix clock.
+
+    On the Unix clock alone, setting it back by a minute would stop every timer for that minute, and setting
+    it forward would end every wait and every key's window.  ``ahead`` tells how far this clock is before the
+    Unix clock now: what peers write as Unix time is moved by it as it is read.
+    """
+
+    def __init__(self, unix: Callable[[], float] = time.time,
+                 steady: Callable[[], float] = time.monotonic) -> None:
+        self.unix, self.steady = unix, steady
+        self.base = unix() - steady()
+
+    def __call__(self) -> float:
+        return self.base + self.steady()
+
+    def ahead(self) -> float:
+        return self() - self.unix()
+
+
 class Ticker:
     """One handle on the loop, for the earliest timer of the core."""
 
--- a/saltcart/succession.py
+++ b/saltcart/succession.py
@@ -81,7 +81,7 @@
     def _hear(self, packet: wire.Packet, fd: int | None) -> None:
         match packet.say:
             case "entry" | "gone":
-                self.service.inherit(wire.to_entry(packet), packet.say == "gone")
+                self.service.inherit(wire.to_entry(packet, self.service.ahead()), packet.say == "gone")
             case "beside":
                 load, connections = wire.to_load(packet)
                 self.service.beside(load)
@@ -163,7 +163,7 @@
 
     def _tell(self, entry: Entry, gone: bool) -> None:
         if self.after is not None:
-            self.after.send(wire.of_entry(entry, gone))
+            self.after.send(wire.of_entry(entry, gone, self.service.ahead()))
 
     def _tell_load(self) -> None:
         """Both share the cores and the memory until this one has finished."""
@@ -245,8 +245,7 @@
             return False
         if self.told_at is None:
             self.told_at, self.within = self.service.clock(), within
-            longest = max(c.deadline for c in self.service.settings.classes)
-            stay = min(within, min(LONGEST_STAY, longest) + STAY_ON)
+            stay = min(within, min(LONGEST_STAY, self.service.longest) + STAY_ON)
             self.service.retire(stay)
             self._end_when_done(done, asyncio.get_running_loop().time() + stay - LOOK)
         return True
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
+from saltcart.deployment import AjpFront, Deployment
 from saltcart.net.announcer import Announcer
+from saltcart.net.clock import Clock
 from saltcart.net.index import IndexClient
 from saltcart.net.listener import Listener, ServerConnection
 from saltcart.net.pool import PoolLink
+from saltcart.wire import handover as wire
 from tests.fakes import World
-from tests.standins import HttpClient, Pool, Server, running, until
+from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, Server, running, until
 
 
 def ident(number: int) -> bytes:
@@ -106,3 +110,65 @@
     w.arrive(3, "read")
     w.until(w.now + 0.5)
     assert w.spawned() == [ident(2), ident(3)]
+
+
+# ---- the clock --------------------------------------------------------------------------------
+
+
+class Unix:
+    """The system's Unix clock, which somebody sets."""
+
+    def __init__(self) -> None:
+        self.moved = 0.0
+
+    def __call__(self) -> float:
+        return time.time() + self.moved
+
+    def stamp(self) -> int:
+        return int(self() * 1000)
+
+
+@pytest.mark.parametrize("front", ["http", "ajp"])
+@pytest.mark.parametrize("moved", [-3600.0, -2.0, 4.0, 3600.0])
+def test_a_clock_that_is_set_stops_no_timer_and_ends_no_window(front: str, moved: float) -> None:
+    unix = Unix()
+
+    async def play() -> None:
+        async with Pool() as pool, running(
+                Deployment(ajp=AjpFront("127.0.0.1:0")), clock=Clock(unix), pool=pool.address) as app:
+            one, two = [await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+                        for _ in range(2)]
+            assert (await one.ask(1, "oddaja", key="k", received=unix.stamp())).status == 200
+            pool.auto = False
+            two.send(2, budget="700", received=unix.stamp())
+            await until(lambda: len(pool.spawned) == 2)
+            unix.moved = moved
+            assert (await asyncio.wait_for(two.answer(), 10)).status == 500  # by its due time
+            pool.auto = True
+            # New work is as old as it is, and a further try of a key is within the window still.
+            assert (await one.ask(3, received=unix.stamp())).status == 200
+            assert (await one.ask(4, "oddaja", key="k", received=unix.stamp())).body == b"done x"
+            assert pool.spawned == [ident(1), ident(2), ident(3)]
+
+    asyncio.run(play())
+
+
+def test_a_key_handed_over_counts_by_the_unix_clock() -> None:
+    """Two processes that started before and after the clock was set agree on a window's end."""
+    entry = World().service.keys.keep(("a", "oddaja", b"k"), 1, 1_000.0, b"")
+    told = wire.of_entry(entry, False, ahead=100.0)
+    assert told.fields["until"] == 900.0 and wire.to_entry(told, ahead=-5.0).until == 895.0
+
+
+@pytest.mark.parametrize(("ago", "status"), [(-4.0, 200), (-6.0, 400), (0.0, 200), (59.0, 503), (130.0, 503)])
+def test_how_long_ago_a_request_may_have_come_is_the_settings_to_say(ago: float, status: int) -> None:
+    """A customer's deadline may be longer than a minute: what is still in time is a request."""
+    async def play() -> None:
+        services = [{**SETTINGS["services"][0], "deadline": 90.0, "onTime": 50.0}]
+        async with Pool() as pool, running(
+                pool=pool.address, settings={**SETTINGS, "services": services}) as app:
+            client = await HttpClient(app.addresses["http"]).open()
+            received = int((time.time() - ago) * 1000)
+            assert (await client.ask(1, budget="90000", received=received)).status == status
+
+    asyncio.run(play())
