Pool: one that was started anew, or whose link falls silent, is noticed

Seen in the review of the link's ends: a pool that is restarted numbers its notices from 1 again, while wire/pool.py asks for those after the last one read and drops lower numbers as double ones: no run would ever end again, checks still answered as good. A link that stands but says nothing (its peer gone without a reset) was waited on for good.

Change: net/pool.Pulse. A link that was bound and is not heard for 2 s of turns is left for a new one; turns count 0.1 s at most, so a paused machine is no silence. Before the first bind it may be silent for good, as the protocol says.

--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -15,8 +15,8 @@
 
 from saltcart.interface import (
     Abandoned, Action, Advise, Arrived, AtCall, Below, Beside, Call, CallEnded, Effect, Event, Fail, Finished,
-    Health, IdleClose, Keep, Leaving, Note, Outcome, Preemption, Release, Run, Settings, Share, Signal,
-    SkipCall, Started, Stop, TenantSpec, Tenants, TurnAway, Wake, Woken,
+    Health, IdleClose, Keep, Leaving, Note, Outcome, Preemption, Release, Restarted, Run, Settings, Share,
+    Signal, SkipCall, Started, Stop, TenantSpec, Tenants, TurnAway, Wake, Woken,
 )
 
 GAIN_NOW, GAIN_BEFORE = 0.42, 0.1  # the paper's increments, after its Eq. 11
@@ -146,7 +146,7 @@
         self.on: dict[type, Callable[[float, Any], None]] = {
             Started: self.started, Arrived: self.arrived, Finished: self.finished, AtCall: self.at_call,
             Abandoned: self.abandoned, CallEnded: self.call_ended, Leaving: self.leaving, Woken: self.woken,
-            Tenants: self.tenants, Beside: self.beside}
+            Tenants: self.tenants, Beside: self.beside, Restarted: self.restarted}
         self.other = Beside()  # what the process before still runs here
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -268,6 +268,12 @@
     def beside(self, now: float, ev: Beside) -> None:
         self.other = ev
 
+    def restarted(self, now: float, ev: Restarted) -> None:
+        # What was learned of warm cores must not crowd cold ones.
+        self.s = replace(self.s, cold=ev.cold)
+        self.begun, self.climber = now - ev.age, Climber(self.s)
+        self.climber.since = self.last_done = now
+
     def load(self) -> Beside:
         """The same, told to the process that takes over from this one."""
         return Beside(self.count[ON_CORE], self.count[CALLING], self.memory)
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -254,6 +254,14 @@
         if self.on_up is not None:
             self.on_up()
 
+    def pool_lost(self, cold: bool, age: float) -> None:
+        """Another pool has taken the place of the one before: what ran there is over, nobody knows how."""
+        self._read_clock()
+        self._feed(i.Restarted(cold, max(0.0, age)))
+        for r in list(self.requests.values()):
+            if r.state not in OFF_POOL:
+                self.run_ended(r.ask.ident, i.Outcome.ERROR, 0.0, b"")
+
     def run_ended(self, ident: bytes, outcome: i.Outcome, took: float, result: bytes,
                   left_out: tuple[str, ...] = (), remembered: tuple[str, ...] = ()) -> None:
         r = self.by_ident.get(ident)
--- a/saltcart/interface.py
+++ b/saltcart/interface.py
@@ -200,6 +200,13 @@
     tenants: tuple[TenantSpec, ...]
 
 
+class Restarted(NamedTuple):
+    """The cores were started anew ``age`` seconds ago, cold or not; what ran there is told of as finished."""
+
+    cold: bool
+    age: float
+
+
 class Beside(NamedTuple):
     """What another process of this server, which this one takes over from, still has on the same cores."""
 
@@ -218,7 +225,8 @@
     sockets: float | None = None
 
 
-Event = Started | Arrived | Finished | Abandoned | AtCall | CallEnded | Leaving | Tenants | Beside | Woken
+Event = (Started | Arrived | Finished | Abandoned | AtCall | CallEnded | Leaving | Tenants | Beside |
+         Restarted | Woken)
 
 
 # ---- actions --------------------------------------------------------------------------------
--- a/saltcart/net/pool.py
+++ b/saltcart/net/pool.py
@@ -10,20 +10,53 @@
 from saltcart.wire import pool as wire
 from saltcart.wire.errors import Malformed
 
+# A link on which nothing is heard for this long, though it is polled, is of no use: whoever was there has
+# gone without a word.  Counted in turns of ``TURN`` at most, so that a pause of the machine is no silence.
+SILENCE, TURN = 2.0, 0.1
+EARLIER = 1.0  # a pool that is this much younger than it must be has been started anew
 DOUBT = 0.3  # an old link is heard this long on what it was told last, before the next one is opened
 ENDS = {b"PASS": Outcome.OK, b"FAIL": Outcome.ERROR, b"KILLED": Outcome.CANCELLED, b"NOOP": Outcome.MOOT}
 
 
+class Pulse:
+    """Tells whether the pool at the other end is still there, and still the same one."""
+
+    def __init__(self) -> None:
+        self.up = False  # it has been bound: before that it may be silent for as long as it likes
+        self.age = self.bound_at = self.heard_at = self.heard_before = 0.0
+        self.silent = self.turned_at = 0.0
+
+    def opened(self) -> None:
+        self.silent, self.heard_before = 0.0, self.heard_at
+
+    def heard(self, now: float) -> None:
+        self.silent, self.heard_at = 0.0, now
+
+    def bound(self, now: float, age: float) -> bool:
+        """Whether this is another pool than that of the link before, which it must be at least as old as."""
+        other = self.up and age + EARLIER < self.age + self.heard_before - self.bound_at
+        self.up, self.age, self.bound_at = True, age, now
+        return other
+
+    def silence(self, now: float) -> bool:
+        """Called with every poll; whether it has been silent for too long."""
+        self.silent += min(TURN, now - self.turned_at)
+        self.turned_at = now
+        return self.up and self.silent > SILENCE
+
+
 class PoolConnection(LinkConnection):
     link: PoolLink
 
     def opened(self) -> None:
+        self.link.pulse.opened()
         self.send(self.link.session.connected())
 
     def received(self) -> None:
         if not self.current():  # a link that was left: its notices come again on the new one
             self.buffer.consume(len(self.buffer))
             return
+        self.link.pulse.heard(asyncio.get_running_loop().time())
         try:
             for message in self.link.session.messages(self.buffer):
                 if isinstance(message, bytes):
@@ -44,7 +77,7 @@
 class PoolLink(Link):
     def __init__(self, peer: str, events: RunEvents, log: Log) -> None:
         super().__init__("pool", peer, log)
-        self.session, self.events = wire.Session(), events
+        self.session, self.events, self.pulse = wire.Session(), events, Pulse()
         self.next: str | None = None  # the address to move to
         self.timer: asyncio.TimerHandle | None = None
 
@@ -88,6 +121,10 @@
             case wire.Finished(ident, end, took, result):
                 self.events.run_ended(ident, ENDS.get(end, Outcome.ERROR), took, result)
             case wire.Bound(loaded, age):
+                if self.pulse.bound(asyncio.get_running_loop().time(), age):
+                    self.log("pool-restarted", age=age)
+                    self.session.restarted()
+                    self.events.pool_lost(not loaded, age)
                 self.events.pool_up(not loaded, age)
             case wire.Lost(ident):
                 self.events.run_lost(ident)
@@ -119,4 +156,8 @@
         self._send(self.session.skip(ident, notice))
 
     def poll(self) -> None:
+        if self.pulse.silence(asyncio.get_running_loop().time()) and self.connection is not None:
+            self.log("pool-silent")
+            self.pulse.silent = 0.0
+            self.connection.abort()
         self._send(self.session.poll())
--- a/saltcart/wire/pool.py
+++ b/saltcart/wire/pool.py
@@ -90,6 +90,12 @@
     def lost(self) -> None:
         self.up = False
 
+    def restarted(self) -> None:
+        """Another pool is at the other end: it numbers its notices anew and knows of no run."""
+        self.last = 0
+        self.pending.clear()
+        self.calls.clear()
+
     def in_doubt(self) -> bool:
         """Whether a run that must not start twice was asked for, and nothing shows yet that this arrived."""
         return any(c.once and c.written for c in self.pending)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -76,6 +76,7 @@
         self.spawned: list[bytes] = []
         self.bodies: dict[bytes, bytes] = {}
         self.told: list[bytes] = []
+        self.state = b"LOADED 60000"  # what it says when it is bound
         self.quiet = False  # leaves polls unanswered: for a test that writes a notice in pieces
         self.writer: asyncio.StreamWriter | None = None
 
@@ -87,15 +88,21 @@
                 self.bodies[words[1]] = (await reader.readexactly(int(words[-1]) + 2))[:-2]
             if words[0] == b"bind":
                 self.writer = writer
-                writer.write(b"bound LOADED 60000\r\n")
+                writer.write(b"bound %b\r\n" % self.state)
                 writer.writelines(data for n, data in self.notices.items() if n > int(words[1]))
-            elif words[0] == b"poll" and not self.quiet:
+            elif words[0] == b"poll" and not self.quiet and self.writer is writer:
                 writer.write(b"polled %b 0.5 1\r\n" % words[1])
             elif words[0] == b"spawn":
                 self.spawned.append(words[1])
                 if self.auto:
                     self.finish(words[1])
 
+    def restart(self) -> None:
+        """Another pool at the same address: it numbers its notices anew and knows of no run."""
+        self.number, self.state = 0, b"EMPTY 40"
+        self.notices.clear()
+        self.cut()
+
     def notice(self, text: bytes, body: bytes) -> None:
         self.number += 1
         head = b"%b %d %b %d\r\n" % (text.split()[0], self.number, b" ".join(text.split()[1:]), len(body))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,7 +14,8 @@
 from saltcart.net.clock import Clock
 from saltcart.net.index import IndexClient
 from saltcart.net.listener import Listener, ServerConnection
-from saltcart.net.pool import PoolLink
+from saltcart.net import pool as pool_link
+from saltcart.net.pool import PoolLink, Pulse
 from saltcart.wire import handover as wire
 from tests.fakes import World
 from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, Server, running, until
@@ -172,3 +173,82 @@
             assert (await client.ask(1, budget="90000", received=received)).status == status
 
     asyncio.run(play())
+
+
+# ---- the pool ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("front", ["http", "ajp"])
+def test_a_pool_that_was_started_anew_owes_no_run_and_is_heard(front: str) -> None:
+    """Its notices begin with 1 again: taken for ones that were read, no run would ever end."""
+    logged: list[str] = []
+
+    async def play() -> None:
+        async with Pool() as pool, running(
+                Deployment(ajp=AjpFront("127.0.0.1:0")), pool=pool.address,
+                log=lambda event, **_: logged.append(event)) as app:
+            clients = [await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+                       for _ in range(3)]
+            for n in range(1, 9):
+                assert (await clients[0].ask(n)).status == 200
+            pool.auto = False
+            clients[0].send(11)
+            clients[1].send(12, "oddaja", key="k")
+            await until(lambda: len(pool.spawned) == 10)
+            pool.auto = True
+            pool.restart()
+            # What ran may have had its effect: failed at once, and its key stands.
+            assert [(await asyncio.wait_for(c.answer(), 1.5)).status for c in clients[:2]] == [500, 500]
+            assert (await clients[2].ask(13)).body == b"done x"
+            assert (await clients[1].ask(14, "oddaja", key="k")).status == 500
+            assert pool.spawned[10:] == [ident(13)] and "pool-restarted" in logged
+            controller = app.service.controller
+            assert controller is not None and controller.s.cold  # the crowd that it survives is a cold one's
+            assert controller.load().on_core == 0
+
+    asyncio.run(play())
+
+
+def test_a_link_that_falls_silent_is_left_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pool_link, "SILENCE", 0.3)
+    logged: list[str] = []
+
+    async def play() -> None:
+        async with Pool(auto=False) as pool, running(
+                pool=pool.address, log=lambda event, **_: logged.append(event)) as app:
+            read, once = [await HttpClient(app.addresses["http"]).open() for _ in range(2)]
+            pool.quiet = True
+            read.send(1)
+            once.send(2, "oddaja", key="k")
+            await until(lambda: len(pool.spawned) == 2)
+            pool.writer, pool.quiet = None, False  # whatever it has to say, nothing comes over this link
+            pool.told.clear()
+            await until(lambda: pool.writer is not None)
+            assert b"bind 0" in pool.told and "pool-silent" in logged
+            await until(lambda: pool.spawned[2:] == [ident(1)])  # again, for that can't start it twice
+            pool.finish(ident(1))
+            assert (await read.answer()).status == 200
+            assert (await once.answer()).status == 500  # nothing shows whether it ran
+
+    asyncio.run(play())
+
+
+def test_silence_counts_once_the_pool_was_up_and_not_while_the_machine_stood_still() -> None:
+    pulse = Pulse()
+    for turn in range(1000):
+        assert not pulse.silence(turn * 0.04)  # accepted, not bound: the pool may come up long after
+    assert not pulse.bound(40.0, 0.0)
+    pulse.heard(40.0)
+    assert not pulse.silence(40.04) and not pulse.silence(400.0)
+    assert any(pulse.silence(400.0 + turn * 0.04) for turn in range(60))
+
+
+@pytest.mark.parametrize(("age", "other"), [(70.0, False), (62.0, False), (0.0, True), (30.0, True)])
+def test_a_pool_is_another_one_if_it_is_younger_than_it_must_be(age: float, other: bool) -> None:
+    pulse = Pulse()
+    pulse.opened()
+    assert not pulse.bound(100.0, 60.0)
+    pulse.heard(102.5)
+    pulse.opened()
+    pulse.heard(110.0)  # of the new link: says nothing of the one before
+    assert pulse.bound(110.0, age) is other
