Keys: bounded in bytes, answered by the run itself, in doubt where nobody told them

The table is bounded by bytes: 1 KiB and the result a key (736 measured), 4 KiB booked until it is known, a quarter of the memory as before; of the ids of its tries 64 are kept, not all that come. - A key that ages out while its run lives (a window shorter than runs) was found by the table, which held the next one by then: who had joined the run failed. The request has its entry itself now; by_holder is gone. - A newer try past the window that was refused took the older entry with it: a try of the first window, read late, ran a second time. An entry keeps the one before it until that one's time is over. - A takeover in which the old process said nothing for 4 s, or died before 'yours', began with no keys and could run one again. New keys are refused then until the longest window has passed, or the keys are told after all. - Between the moment at which all is answered before the stop (0.12 s) and the stop itself the module's own stop could lie later (aims under 1 s) and a request was held or run then. It is refused at once, with when to come back. Checked and sound, with tests: the grace to the millisecond, the notice twice, before the pool is up, and both.

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -39,7 +39,7 @@
     from saltcart.storm.damper import Damper
     from saltcart.storm.settings import StormSettings
 
-MOST_KEYS, ENTRY_KB = 4096, 5.5  # a result has 4 KiB at most
+KEYS_SHARE = 0.25  # of the memory that keys with their results may take
 ADMIN_IDLE, ADMIN_CONNECTIONS = 30.0, 16
 RESERVE = 56  # descriptors for the pool, announce service, listeners, logs, the loop, and closes under way
 BESIDE = 24  # descriptors for a new process that starts beside this one, before it takes over
@@ -72,10 +72,9 @@
             settings = replace(settings, tenants=specs(deployment.tenants))
         if hosted:  # no tenant spends another's share: what is past its quota is worth nothing
             settings = replace(settings, over_quota_worth=0.0)
-        # A quarter of the memory, at most, holds keys with their results.
-        most_keys = min(MOST_KEYS, int(conf.memory_mb * 1024 / 4 / ENTRY_KB))
+        key_room = int(conf.memory_mb * KEYS_SHARE * 1024 * 1024)
         clock = clock or Clock()
-        self.service = Service(settings, conf.gauges, conf.seed, clock, log, most_keys, clock.ahead)
+        self.service = Service(settings, conf.gauges, conf.seed, clock, log, key_room, clock.ahead)
         self.service.hosted = hosted
         self.listeners: list[Listener] = []
         self.fronts: dict[str, Listener] = {}  # those of the clients
--- a/saltcart/core/keys.py
+++ b/saltcart/core/keys.py
@@ -7,6 +7,9 @@
 from hashlib import blake2b
 
 Key = tuple[str, str, bytes]  # tenant, class, key: no tenant reaches another's
+# Bytes that an entry takes in this process beside its result, that a result has at most, and that one of its
+# tries' ids takes; of these so many are remembered.
+BARE, MOST_RESULT, IDENT, MOST_IDENTS = 1024, 4096, 80, 64
 
 
 def digest(body: bytes) -> bytes:
@@ -27,21 +30,27 @@
     over: bool = False
     result: bytes | None = None  # of a run that went well
     joined: list[int] = field(default_factory=list)  # tries that wait for the result
+    before: Entry | None = None  # of an earlier window that a late-read try may still be of
+    booked: int = 0  # bytes on the table's account
+
+    def size(self) -> int:
+        result = len(self.result or b"") if self.over else MOST_RESULT
+        return BARE + result + IDENT * len(self.idents)
 
 
 class KeyTable:
-    """Bounded: a try that finds no place for its key must not run."""
+    """Bounded in bytes: a try that finds no place for its key must not run."""
 
     def __init__(self, limit: int, grace: float) -> None:
         self.limit, self.grace = limit, grace  # a try may be read this long after it arrived
         self.entries: dict[Key, Entry] = {}
-        self.by_holder: dict[int, Entry] = {}
+        self.bytes = 0
 
     def __len__(self) -> int:
         return len(self.entries)
 
     def full(self) -> bool:
-        return len(self.entries) >= self.limit
+        return self.bytes + BARE + MOST_RESULT + IDENT > self.limit
 
     def find(self, key: Key, received: float) -> Entry | None:
         entry = self.entries.get(key)
@@ -52,37 +61,46 @@
         if entry is not None and entry.holder == holder:
             entry.until = max(entry.until, until)
             return entry
-        if entry is not None:
-            self.by_holder.pop(entry.holder, None)
-        entry = self.entries[key] = self.by_holder[holder] = Entry(key, holder, until, digest(body))
-        return entry
-
-    def release(self, holder: int) -> Entry | None:
-        """Give an entry back, unless its run has begun: then it stands for its whole window."""
-        entry = self.by_holder.get(holder)
-        if entry is None or entry.ran:
-            return None
-        return self._remove(entry)
-
-    def never_ran(self, holder: int) -> Entry | None:
-        """It is proved that nothing was started: the key is as free as before."""
-        entry = self.by_holder.get(holder)
-        return None if entry is None else self._remove(entry)
+        new = self.entries[key] = Entry(key, holder, until, digest(body), before=entry)
+        self.book(new)
+        return new
+
+    def note(self, entry: Entry, ident: bytes) -> None:
+        """One more try of this key: its id is used up."""
+        if len(entry.idents) < MOST_IDENTS:
+            entry.idents.add(ident)
+            self.book(entry)
+
+    def book(self, entry: Entry) -> None:
+        """Put what an entry takes on the account, or change it there."""
+        size = entry.size()
+        self.bytes, entry.booked = self.bytes + size - entry.booked, size
 
     def inherit(self, entry: Entry) -> None:
         """An entry of the process before; it stands whatever the bound, for its run may have begun."""
-        self.entries[entry.key] = self.by_holder[entry.holder] = entry
-
-    def free(self, entry: Entry) -> None:
-        self._remove(entry)
+        self.entries[entry.key] = entry
+        self.book(entry)
 
-    def _remove(self, entry: Entry) -> Entry:
-        self.by_holder.pop(entry.holder, None)
+    def remove(self, entry: Entry) -> None:
+        """The key is as free as before; what an earlier window holds stands again."""
         if self.entries.get(entry.key) is entry:
-            del self.entries[entry.key]
-        return entry
+            if entry.before is None:
+                del self.entries[entry.key]
+            else:
+                self.entries[entry.key] = entry.before
+        else:
+            entry.until = float("-inf")  # an older one: nothing finds it any more
+        self.bytes, entry.booked = self.bytes - entry.booked, 0
 
     def sweep(self, now: float, alive: Callable[[int], bool]) -> None:
         """Drop what no late-read try can refer to any more."""
-        for entry in [e for e in self.entries.values() if now > e.until + self.grace and not alive(e.holder)]:
-            self._remove(entry)
+        for entry in list(self.entries.values()):
+            at: Entry | None = entry
+            while at is not None:  # the older ones end first
+                if at.before is not None and now > at.before.until + self.grace:
+                    self.bytes -= at.before.booked
+                    at.before = at.before.before
+                else:
+                    at = at.before
+            if now > entry.until + self.grace and not alive(entry.holder):
+                self.remove(entry)
--- a/saltcart/core/repeats.py
+++ b/saltcart/core/repeats.py
@@ -19,13 +19,16 @@
         self.keys, self.slack, self.end = keys, slack, end
         # Told of keys whose fate is settled, once another process has taken over; nothing is taken then.
         self.heir: Callable[[Entry, bool], None] | None = None
+        self.doubt_until = 0.0  # tries that came up to then may be of a run that nobody told of
 
     # ---- the life of one key ------------------------------------------------------------------
 
     def keep(self, r: Request, until: float) -> Entry:
         assert r.key is not None
         entry = self.keys.keep(r.key, r.number, until, r.ask.body)
-        entry.idents.add(r.ask.ident)
+        if r.entry is not entry:
+            r.entry = entry
+            self.keys.note(entry, r.ask.ident)
         return entry
 
     def claim(self, r: Request) -> bool:
@@ -46,35 +49,35 @@
         else:
             entry.joined.append(r.number)
 
-    def release(self, holder: int) -> None:
-        entry = self.keys.release(holder)
-        if entry is not None:
-            self._fail(entry)
+    def release(self, r: Request) -> None:
+        """Give a key back, unless its run has begun: then it stands for its whole window."""
+        if r.entry is not None and not r.entry.ran:
+            self.keys.remove(r.entry)
+            self._fail(r.entry)
 
     def ended(self, r: Request, outcome: Outcome, result: bytes) -> None:
         """Its run is over; those who wait are told when the request is settled."""
-        entry = self._held_by(r)
-        if entry is not None:
+        if (entry := r.entry) is not None:
             entry.over, entry.result = True, result if outcome is Outcome.OK else None
             if outcome is Outcome.MOOT and not r.notice:  # proof that nothing ran: the key is free
-                self.keys.never_ran(r.number)
+                self.keys.remove(entry)
                 self._fail(entry)
 
     def settled(self, r: Request) -> None:
         """The request is forgotten; its key stands if it has run."""
-        entry = self._held_by(r)
-        if entry is not None:
+        # It has the entry itself: its key may be another one's by now, and those who joined it still wait.
+        if (entry := r.entry) is not None:
             if not entry.ran:
-                self.keys.release(r.number)
+                self.keys.remove(entry)
             entry.over = True
             self._fail(entry) if entry.result is None else self._serve(entry)
 
-    def _held_by(self, r: Request) -> Entry | None:
-        return self.keys.by_holder.get(r.number) if r.key is not None else None
-
     def _serve(self, entry: Entry) -> None:
-        if self.heir is not None:
-            self.heir(entry, self.keys.entries.get(entry.key) is not entry)
+        stands = self.keys.entries.get(entry.key)
+        if stands is entry:
+            self.keys.book(entry)  # its result is known: it takes no more than that
+        if self.heir is not None and (stands is None or stands is entry):
+            self.heir(entry, stands is None)
         joined, entry.joined = entry.joined, []
         for number in joined:
             self.end(number, entry.result)
@@ -104,10 +107,14 @@
             return
         known.ran, known.over, known.result = entry.ran, entry.over or gone, entry.result
         if gone:
-            self.keys.free(known)
+            self.keys.remove(known)
         if known.over:
             self._serve(known)
 
+    def room_for(self, received: float) -> bool:
+        """Whether a key that is new here may be taken: there is room, and no untold run can be of it."""
+        return not self.keys.full() and received > self.doubt_until
+
     def bereave(self) -> None:
         """The process before is gone: a run of a key that it has not told the end of may have begun."""
         for entry in [e for e in self.keys.entries.values() if e.holder < 0 and not e.over]:
--- a/saltcart/core/request.py
+++ b/saltcart/core/request.py
@@ -5,7 +5,7 @@
 import enum
 
 from saltcart import interface as i
-from saltcart.core.keys import Key
+from saltcart.core.keys import Entry, Key
 from saltcart.core.ports import Ask, Reply, Try
 
 
@@ -24,13 +24,14 @@
 class Request:
     """One request from its reading to the end of its run."""
 
-    __slots__ = ("ask", "call_at", "call_body", "call_number", "due", "key", "notice", "number", "reply",
-                 "spec", "state", "stopped", "tried")
+    __slots__ = ("ask", "call_at", "call_body", "call_number", "due", "entry", "key", "notice", "number",
+                 "reply", "spec", "state", "stopped", "tried")
 
     def __init__(self, number: int, ask: Ask, spec: i.ClassSpec, due: float, reply: Reply) -> None:
         self.number, self.ask, self.spec, self.due = number, ask, spec, due
         self.reply: Reply | None = reply  # None once the answer is given or the caller gone
         self.state, self.stopped = State.HELD, False
         self.key: Key | None = None
+        self.entry: Entry | None = None  # of its key, where this try holds it
         self.tried: Try | None = None  # where storms are watched for
         self.notice, self.call_body, self.call_at, self.call_number = 0, b"", 0.0, 0
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -36,7 +36,7 @@
     """One server's requests, keys, timers, health and drain."""
 
     def __init__(self, settings: i.Settings, gauge_names: tuple[str | None, ...], seed: int,
-                 clock: Callable[[], float], log: Log, max_keys: int = 4096,
+                 clock: Callable[[], float], log: Log, key_room: int = 1 << 24,
                  ahead: Callable[[], float] = lambda: 0.0) -> None:
         """``clock`` runs on evenly; ``ahead`` is how far it is before the Unix clock that peers write by."""
         self.settings, self.seed, self.clock, self.ahead, self.log = settings, seed, clock, ahead, log
@@ -59,7 +59,7 @@
         self.requests: dict[int, Request] = {}
         self.by_ident: dict[bytes, Request] = {}
         # A try may be read late: as long as its caller can wait at all.
-        self.keys = KeyTable(max_keys, self.longest)
+        self.keys = KeyTable(key_room, self.longest)
         self.repeats = Repeats(self.keys, settings.answer_slack, self._end_joined)
         self.good, self.idle_after = True, settings.idle or 30.0
         self.on_up: Callable[[], None] | None = None  # told once, when the pool is up
@@ -124,9 +124,10 @@
                 raise Unacceptable("this key came with another body")
             if ask.ident in entry.idents:
                 raise Unacceptable("this id was used before")
-            entry.idents.add(ask.ident)
-        if self.controller is None or self.repeats.heir is not None or (
-                key is not None and entry is None and self.keys.full()):
+            self.keys.note(entry, ask.ident)
+        if self.controller is None or self.repeats.heir is not None or now >= self.stop_at - STOP_MARGIN or (
+                key is not None and entry is None and not self.repeats.room_for(ask.received)):
+            # Once all is answered before the stop nothing more is taken: nobody would answer it.
             self._answer(r, Answer(Verdict.REFUSED, back_off=UNSERVED_BACK_OFF))
             return r.number
         r.key = key
@@ -226,6 +227,12 @@
         self._read_clock()
         self.repeats.inherit(entry, gone, next(self.numbers))
 
+    def doubt(self) -> None:
+        """The process before never told its keys: no new one is run until those of its runs have passed."""
+        windows = [c.window for c in self.settings.classes if c.effect is i.Effect.KEYED]
+        self.repeats.doubt_until = self._read_clock() + max(windows, default=0.0) + self.settings.answer_slack
+        self.log("keys-in-doubt", until=self.repeats.doubt_until)
+
     def bereave(self) -> None:
         """The process before is gone, and with it what it ran."""
         self._read_clock()
@@ -426,7 +433,8 @@
             self.repeats.keep(r, self.now + a.span)
 
     def _release(self, a: i.Release) -> None:
-        self.repeats.release(a.id)
+        if (r := self.requests.get(a.id)) is not None:
+            self.repeats.release(r)
 
     def _share(self, a: i.Share) -> None:
         r = self.requests.get(a.id)
--- a/saltcart/succession.py
+++ b/saltcart/succession.py
@@ -44,7 +44,8 @@
         self.doorway = Doorway(folder, f"saltcart-{name}", self._found)
         self.before: HandoverLink | None = None
         self.after: HandoverLink | None = None
-        self.given = asyncio.Event()  # the old process has told all
+        self.given = asyncio.Event()  # the old process has told all, or is gone
+        self.told = False  # all of its keys are known
         self.told_at: float | None = None  # when it was told to stop, after it had handed over
         self.within, self.over = 0.0, False
         self.load: tuple[Beside, int] | None = None  # what the new process was told last
@@ -73,6 +74,8 @@
                     await self.given.wait()
             except TimeoutError:
                 self.log("takeover-unanswered")
+            if not self.told:
+                self.service.doubt()
             self.log("took-over", keys=len(self.service.keys))
         self._be_found()
         await self.open_fronts()
@@ -87,6 +90,8 @@
                 self.service.beside(load)
                 self._count_beside(connections)
             case "yours":
+                self.told = True
+                self.service.repeats.doubt_until = 0.0  # told late is told
                 self.given.set()
             case "connection" if fd is not None:
                 self._count_beside(max(0, self.beside - 1))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -77,22 +77,30 @@
 
 
 def test_a_key_that_finds_no_room_is_refused_and_not_run() -> None:
-    w = World(max_keys=1)
+    w = World(key_room=8000)
     w.arrive(1)
     w.arrive(2, key=b"other")
     assert w.verdicts(2) == ["refused"] and w.answers[b"%016x" % 2][0].back_off > 0
     assert w.spawned() == [b"%016x" % 1]
 
 
+def test_the_key_of_a_run_is_never_given_up() -> None:
+    w = World()
+    r = w.service.requests[w.arrive(1)]
+    w.service.repeats.release(r)
+    w.arrive(2)
+    w.end(1)
+    assert w.spawned() == [b"%016x" % 1] and w.verdicts(2) == ["served"]
+
+
 def test_the_key_table_forgets_and_keeps_what_has_run() -> None:
-    table = KeyTable(9, grace=2.0)
+    table = KeyTable(99_999, grace=2.0)
     table.keep(("a", "c", b"x"), 1, 10.0, b"").ran = True
-    table.keep(("a", "c", b"y"), 2, 10.0, b"")
-    assert table.release(1) is None and table.release(2) is not None  # a run's entry is never given up
+    table.remove(table.keep(("a", "c", b"y"), 2, 10.0, b""))
     table.sweep(11.9, lambda _: False)
     assert len(table) == 1
     table.sweep(12.1, lambda _: False)
-    assert len(table) == 0 and not table.by_holder
+    assert len(table) == 0 and table.bytes == 0
 
 
 def test_nothing_runs_that_came_late_in_a_drain_and_all_is_answered() -> None:
--- a/tests/test_core_rules.py
+++ b/tests/test_core_rules.py
@@ -110,4 +110,4 @@
     h.until(h.drained + 4.0)
     assert all(h.answers[ident] or ident in h.gone for ident in h.answers), "unanswered at the stop"
     h.until(h.now + 20.0)
-    assert not h.service.keys.by_holder.keys() - {e.holder for e in h.service.keys.entries.values()}
+    assert not h.service.keys.entries and h.service.keys.bytes == 0
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+from saltcart import interface as i
+from saltcart.app import App
+from saltcart.config import read_config
 from saltcart.deployment import AjpFront, Deployment
 from saltcart.net.announcer import Announcer
 from saltcart.net.clock import Clock
@@ -17,8 +23,9 @@
 from saltcart.net import pool as pool_link
 from saltcart.net.pool import PoolLink, Pulse
 from saltcart.wire import handover as wire
-from tests.fakes import World
-from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, Server, running, until
+from tests.fakes import ONCE, READ, World
+from tests.fakes import SETTINGS as CORE
+from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, Server, raw_config, running, until
 
 
 def ident(number: int) -> bytes:
@@ -87,7 +94,7 @@
 
 
 def test_a_fault_in_sweeping_the_keys_leaves_no_full_table() -> None:
-    w = World(max_keys=1)
+    w = World(key_room=8000)
     w.service.keys.sweep = failing(w.service.keys.sweep, 2)  # type: ignore[method-assign]
     w.arrive(1)
     w.end(1)
@@ -252,3 +259,178 @@
     pulse.opened()
     pulse.heard(110.0)  # of the new link: says nothing of the one before
     assert pulse.bound(110.0, age) is other
+
+
+# ---- keys -------------------------------------------------------------------------------------
+
+
+def short(window: float) -> World:
+    """A customer whose window is shorter than its runs."""
+    return World(replace(CORE, classes=(READ, replace(ONCE, window=window))))
+
+
+def test_who_joined_a_run_is_served_by_it_though_its_key_has_aged_out_meanwhile() -> None:
+    w = short(0.3)
+    w.arrive(1)
+    w.until(w.now + 0.2)
+    w.arrive(2)
+    w.until(w.now + 0.8)
+    w.arrive(3)  # past the window: a run of its own
+    assert w.spawned() == [ident(1), ident(3)]
+    w.end(1, result=b"first")
+    assert w.verdicts(2) == ["served"] and w.answers[ident(2)][0].body == b"first"
+    w.end(3, result=b"second")
+    assert w.answers[ident(3)][0].body == b"second"
+    w.until(w.now + 20.0)
+    assert not w.service.keys.entries and not w.service.keys.bytes and not w.service.requests
+
+
+@pytest.mark.parametrize("freed", ["its caller goes", "it never ran"])
+def test_a_try_read_late_is_of_the_run_in_its_window_though_a_newer_one_came_between(freed: str) -> None:
+    w = short(1.0)
+    reached = w.now + 0.9
+    w.arrive(1)
+    w.end(1)
+    w.until(w.now + 1.5)
+    for n in range(10, 26):
+        w.arrive(n, "read")  # every slot is taken
+    newer = w.arrive(3)
+    if freed == "its caller goes":
+        assert ident(3) not in w.spawned()
+        w.service.abandon(newer)
+    else:
+        for n in range(10, 26):
+            w.end(n)
+        assert ident(3) in w.spawned()
+        w.end(3, i.Outcome.MOOT)
+    w.arrive(2, received=reached)  # it came inside the first one's window
+    assert ident(2) not in w.spawned() and w.answers[ident(2)][0].body == b"result"
+
+
+def test_keys_are_bounded_by_what_they_take_and_not_by_their_number() -> None:
+    """All keyed, a long window: small results must not fill a table that is made for large ones."""
+    w = World(key_room=20 * 6000)
+    for n in range(1, 61):
+        w.arrive(n, key=b"%d" % n)
+        w.end(n)
+    assert len(w.spawned()) == 60
+    for n in range(101, 141):
+        w.arrive(n, key=b"%d" % n)
+        w.end(n, result=b"x" * 4096)
+    assert 4 < len(w.spawned()) - 60 < 20 and w.service.keys.bytes <= 20 * 6000
+    again = World(key_room=20 * 6000)
+    for n in range(1, 5000):  # nor by further tries of one key
+        again.arrive(n)
+        if n == 1:
+            again.end(1)
+    assert again.service.keys.bytes < 8000 and again.verdicts(4999) == ["served"]
+
+
+def test_keys_that_were_never_told_may_have_run() -> None:
+    w = World()
+    w.service.doubt()
+    w.arrive(1)
+    w.arrive(2, "read")
+    assert w.verdicts(1) == ["refused"] and w.answers[ident(1)][0].back_off > 0
+    w.until(w.now + 6.0 + 0.08)  # a try that came up to then may be of a run before the takeover
+    w.arrive(3)
+    w.until(w.now + 0.1)
+    w.arrive(4)
+    assert w.verdicts(3) == ["refused"] and w.spawned() == [ident(2), ident(4)]
+
+
+@pytest.mark.parametrize("how", ["says nothing", "dies at once", "dies when it is asked", "tells late"])
+def test_an_old_process_that_does_not_tell_its_keys_leaves_them_in_doubt(
+        how: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("saltcart.succession.ANSWER_WAIT", 0.2)
+
+    async def play() -> None:
+        old = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        old.bind(str(tmp_path / "saltcart-n1"))
+        old.listen(1)
+        old.setblocking(False)
+        loop = asyncio.get_running_loop()
+
+        async def serve() -> None:
+            link, _ = await loop.sock_accept(old)
+            if how == "dies at once":
+                link.close()
+                return
+            assert b"take" in await loop.sock_recv(link, 4096)
+            if how == "dies when it is asked":
+                link.close()
+                return
+            await until(lambda: bool(app.fronts))
+            if how == "tells late":
+                link.send(wire.encode(wire.Packet("yours", {})))
+
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            environment = {"BALANCER_LISTEN_FD": str(held.fileno()), "TMPDIR": str(tmp_path)}
+            async with Pool() as pool:
+                app = App(read_config(raw_config(pool=pool.address), environment), Deployment(),
+                          lambda event, **_: None)
+                served = asyncio.create_task(serve())
+                await app.start()
+                try:
+                    await until(app.ready)
+                    await served
+                    client = await HttpClient("{}:{}".format(*held.getsockname())).open()
+                    assert (await client.ask(1)).status == 200
+                    if how == "tells late":
+                        await until(lambda: not app.service.repeats.doubt_until)
+                    status = (await client.ask(2, "oddaja", key="k")).status
+                    assert status == (200 if how == "tells late" else 503)
+                    assert (ident(2) in pool.spawned) is (how == "tells late")
+                finally:
+                    await app.close()
+                    old.close()
+
+    asyncio.run(play())
+
+
+# ---- the drain --------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("klass", ["read", "oddaja"])
+@pytest.mark.parametrize("before_stop", [0.119, 0.05, 0.0, -0.5])
+def test_what_comes_once_all_is_answered_before_the_stop_is_refused_at_once(
+        klass: str, before_stop: float) -> None:
+    w = World(replace(CORE, drain_grace=5.0, classes=tuple(replace(c, aim=0.3) for c in CORE.classes)))
+    w.arrive(1, klass)
+    w.service.leave(2.0)
+    w.until(w.now + 2.0 - before_stop)
+    w.arrive(2, klass, key=b"other")
+    assert w.verdicts(1) == ["failed"] and w.verdicts(2) == ["refused"] and len(w.spawned()) == 1
+
+
+@pytest.mark.parametrize(("late", "runs"), [(-0.001, True), (0.0, True), (0.001, False)])
+def test_the_grace_counts_to_the_millisecond_from_the_notice(late: float, runs: bool) -> None:
+    """By the time at which it came; the module stops a tenth earlier by itself, so that is taken out."""
+    w = World()
+    assert w.service.controller is not None
+    w.service.leave(3.0)
+    w.service.controller.no_more = float("inf")
+    w.until(w.now + 1.0)
+    w.arrive(1, "read", received=w.now + late)
+    assert (w.spawned() == [ident(1)]) is runs
+    w.until(w.now + 3.0)
+    assert len(w.verdicts(1)) == 1
+
+
+@pytest.mark.parametrize("notice", ["before the pool is up", "twice", "before and again"])
+def test_a_notice_at_an_odd_moment_is_one_drain(notice: str) -> None:
+    w = World(up=notice == "twice")
+    w.service.leave(3.0)
+    if notice != "before the pool is up":
+        w.until(w.now + 0.5)
+        w.service.leave(3.0)
+    if notice != "twice":
+        w.arrive(1, "read")
+        assert w.verdicts(1) == ["refused"]  # no pool yet
+        w.until(w.now + 1.2)
+        w.service.pool_up(True, 0.0)
+    assert w.logged.count("drain") == 1 and not w.service.healthy
+    w.until(1_000.0 + 1.5)
+    w.arrive(2, "read")  # past the grace of the first notice
+    w.until(1_000.0 + 3.0)
+    assert ident(2) not in w.spawned() and len(w.verdicts(2)) == 1
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -118,7 +118,7 @@
     _, new = two()
     assert len(new.service.keys) == 2
     new.until(new.now + 30)
-    assert len(new.service.keys) == 0 and not new.service.keys.by_holder
+    assert len(new.service.keys) == 0 and new.service.keys.bytes == 0
 
 
 # ---- on sockets -------------------------------------------------------------------------------
