Idle connections are closed two turns later, after what stands at their sockets was read

A request written while that turn was long (many requests on a small share of a core) stood unread at the socket, and the close reset it: the platform lets only what crosses within 50 ms be sent again, so it was lost. Change: the close comes two turns of the loop later and only if the connection still rests as it did; what had come by then is read. Tests of real processes beside it: SIGTERM twice, SIGHUP in a drain, a notice with no pool yet and during the start; these were sound before.

--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -181,6 +181,12 @@
         slow.close()
         return True
 
+    def _close_idle(self, idle: dict[ServerConnection, float]) -> None:
+        for connection, since in idle.items():
+            if connection in self.resting and connection.since == since:
+                self.leave(connection)
+                connection.close()
+
     def leave(self, connection: ServerConnection) -> None:
         self.awaiting.pop(connection, None)
         self.resting.pop(connection, None)
@@ -196,8 +202,9 @@
         for connection in list(takewhile(lambda c: c.since < stuck, self.awaiting)):
             self.leave(connection)
             connection.expire()
-        for connection in list(takewhile(lambda c: c.since < oldest, self.resting)):
-            self.leave(connection)
-            connection.close()
+        idle = {c: c.since for c in takewhile(lambda c: c.since < oldest, self.resting)}
+        if idle:
+            # Two turns later: a request that stood at the socket in a long turn is read before that.
+            self.loop.call_soon(self.loop.call_soon, self._close_idle, idle)
         for connection in [c for c, since in self.blocked.items() if since < stuck]:
             connection.abort()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 import time
 from collections.abc import Callable
@@ -26,6 +27,7 @@
 from tests.fakes import ONCE, READ, World
 from tests.fakes import SETTINGS as CORE
 from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, Server, raw_config, running, until
+from tests.test_sockets import logged, start
 
 
 def ident(number: int) -> bytes:
@@ -434,3 +436,80 @@
     w.arrive(2, "read")  # past the grace of the first notice
     w.until(1_000.0 + 3.0)
     assert ident(2) not in w.spawned() and len(w.verdicts(2)) == 1
+
+
+# ---- connections ------------------------------------------------------------------------------
+
+
+def test_a_request_that_waits_at_the_socket_while_a_turn_is_long_is_read_before_the_idle_close() -> None:
+    """A crossing within 50 ms is the balancer's to send again; in a longer turn it would be lost."""
+    async def play() -> None:
+        async with Pool() as pool, running(pool=pool.address) as app:
+            listener = app.fronts["http"]
+            listener.turns.stop()
+            client = await HttpClient(app.addresses["http"]).open()
+            assert (await client.ask(1)).status == 200
+            idle = await HttpClient(app.addresses["http"]).open()
+            assert (await idle.ask(2)).status == 200
+            for connection in listener.resting:
+                connection.since -= 100.0
+            # In one and the same turn: the request is written, and the sweep finds its connection idle.
+            with socket.socket(fileno=socket.dup(client.writer.get_extra_info("socket").fileno())) as raw:
+                client.writer.write = raw.sendall  # type: ignore[assignment, method-assign]
+                client.send(3)
+                listener._sweep()
+            assert (await asyncio.wait_for(client.answer(), 10)).status == 200
+            assert await asyncio.wait_for(idle.reader.read(), 10) == b""  # the other one was idle
+
+    asyncio.run(play())
+
+
+# ---- exits ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("moment", ["twice", "hangup between", "no pool yet"])
+def test_the_program_drains_and_ends_by_itself_whatever_comes_again(moment: str, tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Pool(auto=False) as pool:
+            silent = moment == "no pool yet"
+            address = "127.0.0.1:1" if silent else pool.address
+            with socket.create_server(("127.0.0.1", 0)) as free:
+                listen = "{}:{}".format(*free.getsockname())
+            program = await start(tmp_path / "c.json", raw_config(pool=address, listen=listen, stop_ms=900))
+            assert program.stdout is not None
+            await logged(program.stdout, "listening" if silent else "pool-up")
+            client = await HttpClient(listen).open()
+            if silent:
+                assert (await client.ask(1)).status == 503  # says when to come back
+            else:
+                client.send(1)
+                await until(lambda: pool.spawned == [ident(1)])
+            program.terminate()
+            await logged(program.stdout, "drain")
+            if moment == "hangup between":
+                program.send_signal(signal.SIGHUP)
+                await logged(program.stdout, "reloaded")
+            program.terminate()
+            if not silent:
+                assert (await asyncio.wait_for(client.answer(), 10)).status == 500  # before it is stopped
+            # It goes on answering until it is stopped: nobody is met by a closed door.
+            assert (await asyncio.wait_for(client.ask(2), 10)).status == 503
+            out, err = await program.communicate()
+            assert program.returncode == 0 and err == b"" and out.count(b'"drain"') == 0
+
+    asyncio.run(play())
+
+
+def test_a_hangup_and_a_notice_during_the_start_are_followed_or_end_it_before_anything_was_read(
+        tmp_path: Path) -> None:
+    async def play() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            listen = "{}:{}".format(*free.getsockname())
+        program = await start(tmp_path / "c.json", raw_config(pool="127.0.0.1:1", listen=listen))
+        program.terminate()
+        out, err = await program.communicate()
+        # Before its handlers stand the notice ends it; nothing listened, so nothing was read.
+        assert program.returncode in (0, -signal.SIGTERM) and err == b""
+        assert program.returncode == 0 or b"listening" not in out
+
+    asyncio.run(play())
