--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -58,3 +58,48 @@
     with pytest.raises(ConfigError) as found:
         read_config(raw_config(settings={**SETTINGS, **changed}))
     assert named in str(found.value) and "\n" not in str(found.value)
+
+
+CUSTOMERS: dict[str, dict[str, Any]] = {
+    "all keyed": {"classes": [service(effect="idempotency_key", memorySpan=4.0)]},
+    "all keyed, no window": {"classes": [service(effect="idempotency_key")]},
+    "none keyed": {"classes": [service(), service("pay", "non_idempotent")]},
+    "one class, no tenants, no calls": {"classes": [service()], "tenants": [], "below": "none"},
+    "a single core": {"classes": [service()], "cores": 1, "memLimitKb": 400.0},
+    "short deadlines": {"classes": [service(onTime=0.05, deadline=0.2)]},
+    "a namesake of another effect": {
+        "classes": [service("oddaja"), service("pregled-statusa", "non_idempotent")]},
+    "no free value, no stop": {"classes": [service()], "signal": "none", "preemption": "none"},
+    "a credit": {"classes": [service()], "signal": "credit", "passesDeadline": False},
+}
+
+
+@pytest.mark.parametrize("name", CUSTOMERS)
+def test_the_rules_hold_under_other_customers_settings(name: str) -> None:
+    """Served, a further try, no word of the pool by the due time, a drain: with the least there may be."""
+    async def play() -> None:
+        wanted = dict(CUSTOMERS[name])
+        classes, tenants = wanted.pop("classes"), wanted.pop("tenants", None)
+        settings = customer(classes, tenants, **wanted)
+        keyed = {c["name"]: c["effect"] == "idempotency_key" for c in classes}
+        async with Pool() as pool, running(
+                pool=pool.address, settings=settings, limits={"sockets": 64, "memory_mb": 1}) as app:
+            client = await HttpClient(app.addresses["http"]).open()
+            for n, (klass, has_key) in enumerate(keyed.items(), 1):
+                key = "k" if has_key else None
+                if tenants == []:
+                    client.changed = {"Account": None}
+                assert (await client.ask(n, klass, key=key)).body == b"done x"
+                assert (await client.ask(n + 10, klass, key=key)).body == b"done x"
+                # Only a keyed class's further try is known for one; the rest is the callers' to hold back.
+                assert len(pool.spawned) == (n if has_key else 2 * n)
+            pool.auto = False
+            late = await HttpClient(app.addresses["http"]).open()
+            late.changed = {**client.changed, "Budget-Ms": None}
+            late.send(50, klass, key="other" if has_key else None)
+            app.leave()
+            assert (await asyncio.wait_for(late.answer(), 5)).status in (500, 503)
+            assert (await client.ask(51, klass, key="third" if has_key else None)).status in (500, 503)
+            assert sum(word.startswith(b"spawn") for word in pool.told) == len(set(pool.spawned))
+
+    asyncio.run(play())
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -513,3 +513,119 @@
         assert program.returncode == 0 or b"listening" not in out
 
     asyncio.run(play())
+
+
+# ---- what turned out sound --------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("front", ["http", "ajp"])
+@pytest.mark.parametrize(
+    "moment", ["half a body", "half-close behind it", "reset in the run", "two, then a reset"])
+def test_a_client_that_ends_at_an_odd_moment_leaves_nothing_behind(front: str, moment: str) -> None:
+    """A close is the protocol's word that nobody waits; bytes of a further request change nothing in it."""
+    async def play() -> None:
+        async with Pool(auto=False) as pool, running(
+                Deployment(ajp=AjpFront("127.0.0.1:0")), pool=pool.address) as app:
+            service, listener = app.service, app.fronts[front]
+            client = await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+            if moment == "half a body":
+                held: list[bytes] = []
+                write, client.writer.write = client.writer.write, held.append  # type: ignore[assignment, method-assign]
+                client.send(1, body=b"xyz")
+                write(b"".join(held)[:-2])
+                await until(lambda: any(c.partial() for c in listener.connections))  # type: ignore[attr-defined]
+            else:
+                client.send(1)
+                await until(lambda: pool.spawned == [ident(1)])
+            if moment == "two, then a reset":
+                client.send(2)
+            if moment == "half-close behind it":
+                client.writer.write_eof()
+            else:
+                client.drop()
+            await until(lambda: not listener.connections)
+            if pool.spawned:
+                await until(lambda: b"suspend " + ident(1) in pool.told)
+                pool.finish(ident(1), b"KILLED")
+            await until(lambda: not service.requests)
+            assert service.controller is not None and service.controller.memory == 0
+            assert not any(service.controller.count) and ident(2) not in pool.spawned
+            pool.auto = True
+            again = await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+            assert (await again.ask(3)).status == 200
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("how", ["hangs", "resets", "says 500", "says noise", "closes behind it"])
+def test_reports_go_on_whatever_the_announce_service_does(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("saltcart.net.announcer.WAIT", 0.1)
+    monkeypatch.setattr("saltcart.net.announcer.EVERY", 0.1)
+    heard: list[bytes] = []
+
+    async def play() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.readline():
+                heard.append((await reader.readuntil(b"}")).rpartition(b"{")[2])
+                answer = {"says 500": b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+                          "says noise": b"\0" * 5000,
+                          "closes behind it": b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n"}
+                writer.write(b"HTTP/1.1 204 No Content\r\n\r\n" if len(heard) > 4 else answer.get(how, b""))
+                if how == "resets" and len(heard) <= 4:
+                    writer.transport.abort()
+
+        async with Server(serve) as announce, Pool() as pool, running(
+                pool=pool.address, announce=announce.address) as app:
+            await until(lambda: len(heard) > 6)
+            app.service.withdraw(True)
+            await until(lambda: b"false" in heard[-1])
+            assert app.announcer is not None and not app.announcer.failing
+            assert len(announce.writers) >= 1 and b"true" in heard[0]
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("klass", ["read", "oddaja"])
+def test_a_run_whose_end_is_never_told_gives_all_back(klass: str) -> None:
+    """As when more notices were missed than the pool keeps."""
+    w = World()
+    w.arrive(1, klass)
+    assert w.spawned() == [ident(1)] and w.service.controller is not None
+    w.until(w.now + 4.2)
+    assert w.verdicts(1) == ["failed"] and w.service.load().on_core == 1  # it may still be on the cores
+    w.until(w.now + 20.0)
+    assert "written-off" in w.logged and not w.service.requests and not w.service.by_ident
+    assert not any(w.service.controller.count) and w.service.controller.memory == pytest.approx(0)
+
+
+def test_a_machine_that_stood_still_over_several_deadlines_answers_each_once_and_runs_nothing_dead() -> None:
+    w = World()
+    for n in range(1, 41):
+        w.arrive(n, "read" if n % 2 else "oddaja", key=b"%d" % n)
+    ran = len(w.spawned())
+    assert 2 <= ran < 40
+    w.now += 30.0  # no timer rang meanwhile
+    w.service.tick()
+    w.end(1)  # its end was told meanwhile
+    w.until(w.now + 1.0)
+    assert all(len(answers) == 1 for answers in w.answers.values()) and len(w.spawned()) == ran
+    w.arrive(50, "read")
+    assert w.verdicts(50) in ([], ["refused"])
+    w.until(w.now + 20.0)
+    assert not w.service.requests and len(w.verdicts(50)) == 1
+
+
+@pytest.mark.parametrize("klass", ["read", "oddaja"])
+@pytest.mark.parametrize("first", ["end", "abandon", "due"])
+def test_an_end_a_gone_caller_and_the_due_time_in_one_moment_are_one_ending(klass: str, first: str) -> None:
+    w = World()
+    number = w.arrive(1, klass)
+    w.now += 3.0 + CORE.answer_slack / 2  # due, with its guard, though no timer has rung
+    act = {"end": lambda: w.end(1), "abandon": lambda: w.service.abandon(number), "due": w.service.tick}
+    act[first]()
+    for other in act:
+        act[other]()
+    assert len(w.verdicts(1)) == (0 if first == "abandon" else 1)
+    w.end(1)
+    w.until(w.now + 20.0)
+    assert not w.service.requests and not w.service.keys.bytes and len(w.spawned()) == 1
