--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -115,8 +115,9 @@
     assert "action-fault" in w.logged and w.spawned() == []
     w.arrive(2, "read")
     w.end(2)
-    w.until(w.now + 3.1)
     assert (w.verdicts(1), w.verdicts(2)) == (["failed"], ["served"])
+    assert w.service.load().on_core == 0  # its slot is free again
+    w.until(w.now + 3.1)
     w.arrive(3, "read")
     w.until(w.now + 0.5)
     assert w.spawned() == [ident(2), ident(3)]
