The laboratory's key room is told in bytes; gauges last two turns of the module again

Mended: the room is given by name alone, so that a number can't be taken for it; the models have 1 GiB.

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -74,7 +74,8 @@
             settings = replace(settings, over_quota_worth=0.0)
         key_room = int(conf.memory_mb * KEYS_SHARE * 1024 * 1024)
         clock = clock or Clock()
-        self.service = Service(settings, conf.gauges, conf.seed, clock, log, key_room, clock.ahead)
+        self.service = Service(settings, conf.gauges, conf.seed, clock, log, key_room=key_room,
+                               ahead=clock.ahead)
         self.service.hosted = hosted
         self.listeners: list[Listener] = []
         self.fronts: dict[str, Listener] = {}  # those of the clients
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -25,7 +25,7 @@
 SURPLUS = 15.0  # nothing of a request that was answered is waited for longer than this past its due time
 AFTER_FAULT = 0.1  # the module's timer rings again this long after a fault in it
 INSIST = 1.0  # an answered run that was told to stop is told again: cores that stand still stop nothing
-GAUGES_LAST = 1.0  # gauges polled longer ago than this tell nothing of now
+GAUGES_LAST = 1.0  # gauges polled longer ago than this, and than two turns, tell nothing of now
 
 
 class Unacceptable(Exception):
@@ -36,9 +36,12 @@
     """One server's requests, keys, timers, health and drain."""
 
     def __init__(self, settings: i.Settings, gauge_names: tuple[str | None, ...], seed: int,
-                 clock: Callable[[], float], log: Log, key_room: int = 1 << 24,
+                 clock: Callable[[], float], log: Log, *, key_room: int = 1 << 24,
                  ahead: Callable[[], float] = lambda: 0.0) -> None:
-        """``clock`` runs on evenly; ``ahead`` is how far it is before the Unix clock that peers write by."""
+        """``clock`` runs on evenly; ``ahead`` is how far it is before the Unix clock that peers write by.
+
+        ``key_room``: bytes that keys with their results may take.
+        """
         self.settings, self.seed, self.clock, self.ahead, self.log = settings, seed, clock, ahead, log
         self.longest = max(c.deadline for c in settings.classes)
         self.gauge_names, self.gauge_values, self.gauges_at = gauge_names, dict[str, float](), 0.0
@@ -464,7 +467,8 @@
 
     def _ring(self, token: int) -> None:
         """The gauges are those last polled: a timer never waits for the pool."""
-        if self.now > self.gauges_at + GAUGES_LAST:
+        turn = 0.0 if self.controller is None else self.controller.sweep  # long where the aims are
+        if self.now > self.gauges_at + max(GAUGES_LAST, 2 * turn):
             self.gauge_values = {}  # the link is away: idle cores of long ago must not let in more work
         self._feed(i.Woken(token, **self.gauge_values))
         self.runs.poll()
--- a/saltcart/lab/budgets.py
+++ b/saltcart/lab/budgets.py
@@ -207,7 +207,7 @@
         self.events = events = Events()
         self.origin = events.now
         self.service = Service(self.settings, ("cpu_busy", "runnable"), seed, events.clock,
-                               lambda event, **fields: None, 100_000)
+                               lambda event, **fields: None, key_room=1 << 30)
         plans = office_plans(self.settings)
         self.places = {name: ModelDependency(name, *place, count, seed, events.now)
                        for name, place in offices.PLACES.items()}
--- a/saltcart/lab/storm.py
+++ b/saltcart/lab/storm.py
@@ -123,7 +123,7 @@
         if fleet.tenants:
             settings = replace(settings, tenants=fleet.tenants, over_quota_worth=0.0)
         service = self.service = Service(settings, ("cpu_busy", "runnable"), self.rng.getrandbits(60),
-                                         events.clock, lambda event, **_: None, 100_000)
+                                         events.clock, lambda event, **_: None, key_room=1 << 30)
         service.runs = Runs(self, service)
         decide = service.actions[i.TurnAway]
         service.actions[i.TurnAway] = lambda action: self._turned_away(service, action, decide)
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from saltcart.config import ConfigError, read_config
 from saltcart.deployment import AjpFront, Deployment
+from tests.fakes import READ, World
+from tests.fakes import SETTINGS as CORE
 from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, raw_config, running
 
 AJP = Deployment(ajp=AjpFront("127.0.0.1:0"))
@@ -60,6 +63,19 @@
     assert named in str(found.value) and "\n" not in str(found.value)
 
 
+def test_slots_grow_on_the_gauges_where_aims_are_long_and_turns_with_them() -> None:
+    """With an aim of a minute the turns are further apart than gauges used to last."""
+    w = World(replace(CORE, classes=(replace(READ, aim=60.0, deadline=90.0, calls_below=False),)))
+    assert w.service.controller is not None and w.service.controller.sweep > 2.0
+    for n in range(1, 20):
+        w.arrive(n, "read", budget=90.0)
+    before = len(w.spawned())
+    polled = w.service.runs.poll = lambda: w.service.gauges((0.1, 5, 1))  # type: ignore[method-assign]
+    polled()
+    w.until(w.now + 12.0)  # inside the first period: what grows does so for the cores' sake
+    assert len(w.spawned()) > before + 1
+
+
 CUSTOMERS: dict[str, dict[str, Any]] = {
     "all keyed": {"classes": [service(effect="idempotency_key", memorySpan=4.0)]},
     "all keyed, no window": {"classes": [service(effect="idempotency_key")]},
