One request a core runs under any crowd limit; what never fits the memory is turned away

Seen in the review of other customers' settings, each by a test that failed: - fallMultiple 1 to 1.25 with one core, or a cold start with fallMultiple 2 and coldFrom 0.24: 0.8 of the crowd that is survived is under one request, and fill() let nothing run at all. A server always survives one a core: that is the floor now. - A request of 400 KB with a run factor of 4 on 1,000 KB: held, though it could never run, and at the head of its queue it kept all classes from running until its aim was over.

--- a/saltcart/balance.py
+++ b/saltcart/balance.py
@@ -200,8 +200,8 @@
             return True
         if now >= min(self.stop_at, r.aim) or r.reach > self.no_more or (
                 self.memory + self.other.memory_kb + s.entry_kb * (c.effect is Effect.KEYED) + r.size
-                > 0.9 * s.memory_kb):
-            return True
+                > 0.9 * s.memory_kb) or r.size * s.run_factor > 0.95 * s.memory_kb:
+            return True  # the last would never fit: at the head of its queue it would hold up all others
         n = len(s.classes)
         # Only where it is worth nothing: at a tenth of its worth, refusing it first lost 0.02 of the score.
         if self.pressure > 0 and s.over_quota_worth == 0 and self.past_quota(now, r.tenant):
@@ -314,7 +314,9 @@
         r.state = state
 
     def fill(self, now: float) -> None:
-        s, ceiling = self.s, 0.8 * self.climber.ceiling(now - self.begun)
+        s = self.s
+        # One a core never falls, whatever crowd is survived: below that nothing would run at all.
+        ceiling = max(s.cores, 0.8 * self.climber.ceiling(now - self.begun))
         ceiling -= self.other.on_core + self.other.calling
         while self.count[ON_CORE] + self.other.on_core < self.climber.slots and self.count[HELD]:
             k = self.draw()
@@ -431,7 +433,10 @@
         self.wheel.setdefault(max(self.hand + 1, int(at / self.sweep)), []).append((r.id, r))
 
     def turn(self, now: float) -> None:
-        while self.hand < int(now / self.sweep):
+        # Cores may have been up for days before this start: no turn for each sweep in which nothing stood.
+        upto = int(now / self.sweep)
+        self.hand = max(self.hand, min(upto, min(self.wheel, default=upto)) - 1)
+        while self.hand < upto:
             self.hand += 1
             for ident, r in self.wheel.pop(self.hand, ()):
                 if r is None:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -220,6 +220,23 @@
     assert i.TurnAway(2, False, 1.0) in desk.arrive(2)
 
 
+@pytest.mark.parametrize(("cores", "crowd", "cold"), [
+    (1, 1.0, False), (1, 1.2, False), (1, 2.0, True), (2, 1.0, True)])
+def test_a_customer_whose_servers_survive_no_crowd_runs_one_request_a_core(
+        cores: int, crowd: float, cold: bool) -> None:
+    desk = Desk(replace(BASE, cores=cores, crowd_limit=crowd, cold=cold, cold_from=0.24, cold_span=10.0))
+    for n in range(4):
+        desk.arrive(n)
+    assert sum(isinstance(a, i.Run) for a in desk.said) == cores
+
+
+def test_a_request_that_never_fits_the_memory_is_turned_away_and_holds_up_nobody() -> None:
+    desk = Desk(replace(BASE, memory_kb=1000.0))
+    big = desk.send(i.Arrived(1, 0, 400.0, 0.99))  # it could be held, and would need 1,600 KB to run
+    assert [type(a) for a in big] == [i.TurnAway]
+    assert i.Run(2) in desk.arrive(2)
+
+
 def test_memory_bounds_the_hold() -> None:
     desk = Desk(replace(BASE, memory_kb=200.0))
     for n in range(1, 60):
