Ends of connections: bytes behind the last answer reset nothing

Both kinds of due connections end two turns later now. - Half-close behind a request: it was given up and the connection ended without a word. It still is given up, for a close can't be told from it, but a peer that still reads gets 500. - Answers that a peer leaves unread in the process's own buffer, fewer than count as stuck, held a descriptor for ever once the connection was idle or half-closed. It is cut off 0.2 s later.

--- a/saltcart/admin/server.py
+++ b/saltcart/admin/server.py
@@ -18,7 +18,7 @@
     def received(self) -> None:
         self.awaits()
         try:
-            while self.transport is not None and not self.transport.is_closing():
+            while not self.ending and self.transport is not None and not self.transport.is_closing():
                 request = self.parser.next(self.buffer)
                 if request is None:
                     return
@@ -34,4 +34,4 @@
         kind = {"Content-Type": "application/json"} if body else {}
         self.send(http1.response(status, body, tuple({**kind, **fields}.items()), not keep_alive))
         if not keep_alive:
-            self.close()
+            self.end()
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -45,7 +45,6 @@
         self.number, self.keep_alive = 0, True
         self.open = False  # a whole request was read and its answer is owed
         self.taking = False  # the core is being given a request: an answer at once goes on in the same turn
-        self.ending = False  # an answer was given that ends the connection
         # Where storms are watched for: who sends, whether the request that comes was let in, and whether
         # last.
         self.source = 0
@@ -158,7 +157,7 @@
         """Answer what was no request.  Nothing more is read; what still comes must not cost that answer."""
         if self.ending or self.transport is None or self.transport.is_closing():
             return
-        self.keep_alive, self.ending = False, True
+        self.keep_alive = False
         self.write(status, why, fields)
         self.awaits()  # it may make way for others
         self.end()
@@ -168,7 +167,7 @@
         self.entered = False
         self.rests()
         if not self.keep_alive:
-            self.close()
+            self.end()
 
     def dispatch(self, method: bytes, target: bytes, headers: Mapping[bytes, bytes], body: bytes) -> None:
         """One whole request of either front."""
@@ -206,6 +205,13 @@
         if not self.taking:
             self.again()
 
+    def eof_received(self) -> bool:
+        """The peer sends no more: it has stopped waiting.  Should it still read, it is told."""
+        if self.open:
+            self.keep_alive = False
+            self.write(500)
+        return super().eof_received()
+
     def closed(self) -> None:
         """The peer has stopped waiting, if a request is open."""
         super().closed()
--- a/saltcart/front/control.py
+++ b/saltcart/front/control.py
@@ -16,22 +16,18 @@
 class ControlConnection(ServerConnection):
     def __init__(self, listener: Listener, service: Service, ready: Callable[[], bool]) -> None:
         super().__init__(listener, limit=4096)
-        self.service, self.ready, self.answered = service, ready, False
+        self.service, self.ready = service, ready
 
     def received(self) -> None:
-        if self.answered:  # one call a connection: what follows it is not one
-            self.buffer.consume(len(self.buffer))
-            return
         try:
             call = next_call(self.buffer)
             answer = None if call is None else self.answer(call)
         except Malformed as error:
             answer = f"ERR {error}\n"
         if answer is not None:
-            self.answered = True
             self.listener.leave(self)
             self.send(answer.encode())
-            self.end()
+            self.end()  # one call a connection: what follows it is not one
 
     def answer(self, call: str) -> str:
         match call:
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -22,6 +22,7 @@
         self.listener = listener
         self.since = 0.0  # when it began to await a whole request, or to rest after one
         self.rested, self.age = False, 0.0  # of one that another process had: whether it rests, and how long
+        self.ending = False  # the last answer was given: nothing that comes is a request any more
 
     def opened(self) -> None:
         self.listener.add(self)
@@ -29,6 +30,12 @@
     def closed(self) -> None:
         self.listener.remove(self)
 
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.ending:
+            self.buffer.consume(len(self.buffer))
+        else:
+            super().buffer_updated(nbytes)
+
     def awaits(self) -> None:
         """The next request is expected or half here; its time to come whole runs from the first such call."""
         if self not in self.listener.awaiting:
@@ -55,12 +62,30 @@
         self.listener.blocked.pop(self, None)
 
     def end(self) -> None:
-        """End it once the peer had time to read what was written: bytes left unread would cost it that."""
+        """End it once the peer has closed, or had time to read what was written.
+
+        What still comes is read and dropped: a close over unread bytes is a reset, and costs the peer that.
+        """
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+            self.ending = True
+            self.buffer.consume(len(self.buffer))
+            self.transport.resume_reading()
             self.transport.write_eof()
             self.listener.loop.call_later(self.LINGER, self.abort)
 
+    def eof_received(self) -> bool:
+        self._unread()
+        return super().eof_received()
+
+    def close(self) -> None:
+        self._unread()
+        super().close()
+
+    def _unread(self) -> None:
+        """It ends: what the peer has left unread for long must not hold the descriptor until it is read."""
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self.listener.loop.call_later(self.LINGER, self.abort)
+
     def expire(self) -> None:
         """The next request has not come whole in its time."""
         self.close()
@@ -181,9 +206,12 @@
         slow.close()
         return True
 
-    def _close_idle(self, idle: dict[ServerConnection, float]) -> None:
-        for connection, since in idle.items():
-            if connection in self.resting and connection.since == since:
+    def _end_due(self, due: dict[ServerConnection, float]) -> None:
+        for connection, since in due.items():
+            if connection.since == since and connection in self.awaiting:
+                self.leave(connection)
+                connection.expire()
+            elif connection.since == since and connection in self.resting:
                 self.leave(connection)
                 connection.close()
 
@@ -199,12 +227,10 @@
     def _sweep(self) -> None:
         now = self.loop.time()
         stuck, oldest = now - self.READ_WAIT, now - max(self.SWEEP, self.idle_after())
-        for connection in list(takewhile(lambda c: c.since < stuck, self.awaiting)):
-            self.leave(connection)
-            connection.expire()
-        idle = {c: c.since for c in takewhile(lambda c: c.since < oldest, self.resting)}
-        if idle:
+        due = {c: c.since for c in takewhile(lambda c: c.since < stuck, self.awaiting)}
+        due |= {c: c.since for c in takewhile(lambda c: c.since < oldest, self.resting)}
+        if due:
             # Two turns later: a request that stood at the socket in a long turn is read before that.
-            self.loop.call_soon(self.loop.call_soon, self._close_idle, idle)
+            self.loop.call_soon(self.loop.call_soon, self._end_due, due)
         for connection in [c for c, since in self.blocked.items() if since < stuck]:
             connection.abort()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -542,6 +542,8 @@
                 client.send(2)
             if moment == "half-close behind it":
                 client.writer.write_eof()
+                assert (await client.answer()).status == 500  # it may still read, whatever it has given up
+                assert await client.reader.read() == b""
             else:
                 client.drop()
             await until(lambda: not listener.connections)
