Drains count from the signal; keys by a clock ahead; few descriptors; log; calls

The signal's handler notes the time (net/signals.py), App.leave counts from it. - A try whose Received-At is ahead of the clock (up to 5 s are taken) was looked up past its window and ran a second time. - With 128 descriptors clients got 51 connections, with 64 eight, though balancers may hold half.

--- a/saltcart/__main__.py
+++ b/saltcart/__main__.py
@@ -15,6 +15,7 @@
 from saltcart import config, deployment  # noqa: E402
 from saltcart.app import App  # noqa: E402
 from saltcart.log import JsonLog  # noqa: E402
+from saltcart.net.signals import on_notice  # noqa: E402
 
 LINGER = 1.0  # the process ends by itself this long after it should have been stopped
 
@@ -25,9 +26,9 @@
         "error", text=context.get("message"), error=repr(context.get("exception"))))
     app, ended = App(conf, extra, log), asyncio.Event()
 
-    def leave() -> None:
-        app.leave(ended.set)
-        loop.call_later(conf.stop_after + LINGER, ended.set)
+    def leave(ago: float) -> None:
+        app.leave(ended.set, ago)
+        loop.call_later(conf.stop_after + LINGER - ago, ended.set)
 
     def reload() -> None:
         try:
@@ -35,8 +36,7 @@
         except Exception as error:  # whatever a file may hold, a running service outlives it
             log("reload-failed", error=str(error))
 
-    for sign in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(sign, leave)
+    on_notice((signal.SIGTERM, signal.SIGINT), app.service.clock, leave)
     await app.start()
     gc.collect()
     gc.freeze()  # what lives as long as the process need not be looked at again
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -41,9 +41,12 @@
 
 KEYS_SHARE = 0.25  # of the memory that keys with their results may take
 ADMIN_IDLE, ADMIN_CONNECTIONS = 30.0, 16
-RESERVE = 56  # descriptors for the pool, announce service, listeners, logs, the loop, and closes under way
-BESIDE = 24  # descriptors for a new process that starts beside this one, before it takes over
+# Descriptors for the pool, announce service, listeners, logs, the loop, and closes under way; and for a new
+# process that starts beside this one, before it takes over.
+RESERVE, BESIDE = 56, 24
 CALLS = 64  # connections to the index, at most and as far as a sixth of the descriptors goes
+# Where there are few descriptors, less is kept of them: balancers may hold half.
+RESERVE_PART, LEAST_RESERVE, SIDE_PART = 5, 16, 16
 
 
 def check_plans(plans: Plans, conf: Config) -> None:
@@ -96,14 +99,15 @@
 
     async def start(self) -> None:
         conf, service, loop = self.conf, self.service, asyncio.get_running_loop()
-        calls = max(4, min(CALLS, conf.sockets // 6))
-        most = max(8, conf.sockets - RESERVE - calls)
+        calls, side = max(4, min(CALLS, conf.sockets // 6)), conf.sockets // SIDE_PART
+        operators, administration = min(CONTROL_CONNECTIONS, side), min(ADMIN_CONNECTIONS, side)
+        most = conf.sockets - calls - min(RESERVE, max(LEAST_RESERVE, conf.sockets // RESERVE_PART))
         if self.deployment.admin is not None:
-            most = max(8, most - ADMIN_CONNECTIONS)
+            most -= administration
         if conf.listen_fd is not None:
-            most = max(8, most - BESIDE)
+            most -= min(BESIDE, side)
         if conf.control:
-            most = max(8, most - CONTROL_CONNECTIONS)
+            most -= operators
         if self.deployment.storm is not None:
             self._watch_storms(self.deployment.storm)
         if conf.announce:
@@ -133,7 +137,7 @@
         if conf.control:
             await self._listen("control", Listener(
                 conf.control, lambda owner: ControlConnection(owner, service, self.ready),
-                lambda: ADMIN_IDLE, CONTROL_CONNECTIONS))
+                lambda: ADMIN_IDLE, operators))
         if self.deployment.member is not None:
             await self._join(self.deployment.member)
         if (admin := self.deployment.admin) is not None:
@@ -145,7 +149,7 @@
                       self.nearby, self.evenly)
             await self._listen("admin", Listener(
                 admin.listen, lambda owner: AdminConnection(owner, api), lambda: ADMIN_IDLE,
-                ADMIN_CONNECTIONS, shared=self.succession is not None))
+                administration, shared=self.succession is not None))
 
     def _watch_storms(self, conf: StormSettings) -> None:
         """Tries that come again are told from new work, and who is refused is told when to come back."""
@@ -224,18 +228,21 @@
         """Whether this process can serve."""
         return self.service.controller is not None and bool(self.fronts)
 
-    def leave(self, done: Callable[[], None] = lambda: None) -> None:
-        """The notice to drain; the listeners stay open, for what reaches them is still answered.
+    def leave(self, done: Callable[[], None] = lambda: None, ago: float = 0.0) -> None:
+        """The notice to drain, which came ``ago`` seconds ago.
+
+        The listeners stay open, for what reaches them is still answered.
 
         To a process that has handed over it only tells that it is stopped soon; ``done`` is told when it has
         nothing left to do.
         """
         if self.gossip is not None:
             self.gossip.leave()
+        within = max(0.0, self.conf.stop_after - ago)
         if self.composer is not None:
-            self.composer.hasten(self.conf.stop_after - STOP_MARGIN)
-        if self.succession is None or not self.succession.retire(self.conf.stop_after, done):
-            self.service.leave(self.conf.stop_after)
+            self.composer.hasten(within - STOP_MARGIN)
+        if self.succession is None or not self.succession.retire(within, done):
+            self.service.leave(within, ago)
 
     def reload(self, conf: Config) -> None:
         """Move to the addresses of a new configuration; requests, runs and notice numbers go on.
--- a/saltcart/core/keys.py
+++ b/saltcart/core/keys.py
@@ -90,6 +90,9 @@
                 self.entries[entry.key] = entry.before
         else:
             entry.until = float("-inf")  # an older one: nothing finds it any more
+        self._unbook(entry)
+
+    def _unbook(self, entry: Entry) -> None:
         self.bytes, entry.booked = self.bytes - entry.booked, 0
 
     def sweep(self, now: float, alive: Callable[[int], bool]) -> None:
@@ -98,7 +101,7 @@
             at: Entry | None = entry
             while at is not None:  # the older ones end first
                 if at.before is not None and now > at.before.until + self.grace:
-                    self.bytes -= at.before.booked
+                    self._unbook(at.before)
                     at.before = at.before.before
                 else:
                     at = at.before
--- a/saltcart/core/repeats.py
+++ b/saltcart/core/repeats.py
@@ -35,7 +35,7 @@
         """The entry of a keyed request stands before its run starts, for the whole window.  False: no run."""
         if r.key is None:
             return True
-        entry = self.keys.find(r.key, r.ask.received)
+        entry = self.keys.find(r.key, r.came)
         if entry is not None and entry.holder != r.number:
             return False
         self.keep(r, r.ask.received + r.spec.window + self.slack).ran = True
@@ -43,7 +43,7 @@
 
     def join(self, r: Request) -> None:
         """Share what another try's run leads to, at once if it is over."""
-        entry = None if r.key is None else self.keys.find(r.key, r.ask.received)
+        entry = None if r.key is None else self.keys.find(r.key, r.came)
         if entry is None or entry.over:
             self.end(r.number, None if entry is None else entry.result)
         else:
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -119,8 +119,8 @@
         unread = max(0.0, now - ask.received)
         # No caller waits longer than its class's deadline: nothing is held or timed for longer than that.
         due = ask.received + min(spec.deadline, spec.deadline if ask.budget is None else ask.budget)
-        r = Request(next(self.numbers), ask, spec, max(due, now), reply)
-        entry = None if key is None else self.keys.find(key, ask.received)
+        r = Request(next(self.numbers), ask, spec, now, max(due, now), reply)
+        entry = None if key is None else self.keys.find(key, r.came)
         if entry is not None:
             # Whoever guesses or repeats a key must not be served what another's request has led to.
             if entry.digest != digest(ask.body):
@@ -129,7 +129,7 @@
                 raise Unacceptable("this id was used before")
             self.keys.note(entry, ask.ident)
         if self.controller is None or self.repeats.heir is not None or now >= self.stop_at - STOP_MARGIN or (
-                key is not None and entry is None and not self.repeats.room_for(ask.received)):
+                key is not None and entry is None and not self.repeats.room_for(r.came)):
             # Once all is answered before the stop nothing more is taken: nobody would answer it.
             self._answer(r, Answer(Verdict.REFUSED, back_off=UNSERVED_BACK_OFF))
             return r.number
--- a/saltcart/log.py
+++ b/saltcart/log.py
@@ -34,8 +34,8 @@
             try:
                 while line:
                     line = line[os.write(self.fd, line):]
-            except OSError:
-                return
+            except OSError:  # a full disk, a reader that is slow or gone: one line is lost, not all to come
+                self.dropped += 1
 
     def close(self, wait: float = 1.0) -> None:
         """Write what waits, as far as the reader takes it in time."""
--- a/saltcart/net/index.py
+++ b/saltcart/net/index.py
@@ -136,7 +136,7 @@
                 self.idle.pop(0).abort()
             call.task = loop.create_task(self._connect(call))
             self.tasks.add(call.task)
-            call.task.add_done_callback(self.tasks.discard)
+            call.task.add_done_callback(self._connected)
 
     def _rested(self, ident: bytes, since: float) -> IndexConnection | None:
         """An idle connection that is good for this call, taken off the list.
@@ -175,6 +175,11 @@
         else:
             self._write(call, connection)
 
+    def _connected(self, task: asyncio.Task[None]) -> None:
+        """Its descriptor is a connection's by now, or free: also if its call was given up meanwhile."""
+        self.tasks.discard(task)
+        self._serve_waiting()
+
     def _write(self, call: Call, connection: IndexConnection) -> None:
         call.connection, connection.call, connection.last = connection, call, call.ident
         connection.send(call.data)
--- a/saltcart/settings.py
+++ b/saltcart/settings.py
@@ -19,6 +19,7 @@
     "none": i.Signal.NONE, "level": i.Signal.LEVEL, "credit": i.Signal.CREDIT, "weight": i.Signal.WEIGHT,
 }
 BELOW = {"none": i.Below.NONE, "shared": i.Below.SHARED, "tier": i.Below.TIER}
+MOST = 1e15  # in whatever unit: beyond it sums of times and sizes lose their meaning, and end in infinity
 _ABSENT: Any = object()
 
 
@@ -47,9 +48,9 @@
         value = self._get(key, default)
         if value is default:
             return value
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or value != value:
             raise WireError(f"{self.where}: field {key} is not a number")
-        if not low <= value <= high:
+        if not low <= value <= min(high, MOST):
             raise WireError(f"{self.where}: field {key} is out of range: {value}")
         return value
 
@@ -57,7 +58,7 @@
         value = self._get(key, default)
         if value is default:
             return value
-        if isinstance(value, bool) or not isinstance(value, int) or value < low:
+        if isinstance(value, bool) or not isinstance(value, int) or not low <= value <= MOST:
             raise WireError(f"{self.where}: field {key} is not a whole number from {low} up")
         return value
 
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -56,6 +56,10 @@
     ({"services": [service(), service()]}, "services[1]: field name"),
     ({"orgs": [{"name": "a"}, {"name": "a"}]}, "orgs[1]: field name"),
     ({"orgs": [{"name": " a"}]}, "orgs[0]: field name"), ({"orgs": [{"name": "a\n"}]}, "orgs[0]: field name"),
+    ({"quantum": 10 ** 400}, "quantum is out of range"),
+    ({"quantum": float("inf")}, "quantum is out of range"),
+    ({"extra": {**SETTINGS["extra"], "cores": 10 ** 30}}, "field cores"),
+    ({"services": [service(memorySpan=1e300)]}, "memorySpan is out of range"),
     ({"services": []}, "services"), ({"quantum": 0}, "quantum"), ({"contract": {}}, "answerSlack")])
 def test_a_setting_that_cannot_hold_is_named(changed: dict[str, Any], named: str) -> None:
     with pytest.raises(ConfigError) as found:
