A further try of what has run is never refused, also before the stop

Seen in the review of what is read between the moment at which all is answered (0.12 s before the stop) and the stop, and by a process that has handed over: Service.arrive() answered every request there as refused, also a further try of a keyed request that had run. What has run gets its result now if there is one, and fails if not. Six cases, all seen to fail before.

--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -131,7 +131,11 @@
         if self.controller is None or self.repeats.heir is not None or now >= self.stop_at - STOP_MARGIN or (
                 key is not None and entry is None and not self.repeats.room_for(r.came)):
             # Once all is answered before the stop nothing more is taken: nobody would answer it.
-            self._answer(r, Answer(Verdict.REFUSED, back_off=UNSERVED_BACK_OFF))
+            if entry is not None and entry.ran:  # what has run is never refused
+                self._answer(r, Answer(Verdict.FAILED) if entry.result is None else
+                             Answer(Verdict.SERVED, entry.result))
+            else:
+                self._answer(r, Answer(Verdict.REFUSED, back_off=UNSERVED_BACK_OFF))
             return r.number
         r.key = key
         self.requests[r.number] = self.by_ident[ask.ident] = r
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -185,6 +185,27 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(("end", "told"), [
+    (i.Outcome.OK, "served"), (i.Outcome.ERROR, "failed"), (None, "failed")])
+@pytest.mark.parametrize("closed", ["before the stop", "handed over"])
+def test_a_further_try_of_what_has_run_is_never_refused_also_where_nothing_is_taken_any_more(
+        end: i.Outcome | None, told: str, closed: str) -> None:
+    w = World()
+    w.arrive(1)
+    assert w.spawned() == [ident(1)]
+    if end is not None:
+        w.end(1, end)
+    if closed == "handed over":
+        w.service.repeats.hand_over(lambda entry, gone: None)
+    else:
+        w.service.leave(2.0)
+        w.until(w.now + 1.95)
+    w.arrive(2)
+    w.arrive(3, key=b"new")
+    assert w.verdicts(2) == [told] and w.verdicts(3) == ["refused"]
+    assert told == "failed" or w.answers[ident(2)][0].body == b"result"
+
+
 def test_a_sender_whose_clock_is_ahead_puts_no_try_past_its_window() -> None:
     w = short(1.0)
     w.arrive(1)
