Keys in doubt after an untold takeover fail: a refusal would promise that they never ran

Seen in the review: where the process before never told its keys, new ones were refused until the longest window has passed. What may have run is not to be refused (a refusal says that it never ran, and sends its caller on to another server); it fails now. What is not taken has its answer in one place.

--- a/saltcart/core/repeats.py
+++ b/saltcart/core/repeats.py
@@ -111,9 +111,9 @@
         if known.over:
             self._serve(known)
 
-    def room_for(self, received: float) -> bool:
-        """Whether a key that is new here may be taken: there is room, and no untold run can be of it."""
-        return not self.keys.full() and received > self.doubt_until
+    def doubted(self, came: float) -> bool:
+        """Whether a run that nobody told of may be one of a key that is new here."""
+        return came <= self.doubt_until
 
     def bereave(self) -> None:
         """The process before is gone: a run of a key that it has not told the end of may have begun."""
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -128,14 +128,12 @@
             if ask.ident in entry.idents:
                 raise Unacceptable("this id was used before")
             self.keys.note(entry, ask.ident)
+        new = key is not None and entry is None
+        doubted = new and self.repeats.doubted(r.came)
         if self.controller is None or self.repeats.heir is not None or now >= self.stop_at - STOP_MARGIN or (
-                key is not None and entry is None and not self.repeats.room_for(r.came)):
+                doubted or (new and self.keys.full())):
             # Once all is answered before the stop nothing more is taken: nobody would answer it.
-            if entry is not None and entry.ran:  # what has run is never refused
-                self._answer(r, Answer(Verdict.FAILED) if entry.result is None else
-                             Answer(Verdict.SERVED, entry.result))
-            else:
-                self._answer(r, Answer(Verdict.REFUSED, back_off=UNSERVED_BACK_OFF))
+            self._answer(r, self._not_taken(entry, doubted))
             return r.number
         r.key = key
         self.requests[r.number] = self.by_ident[ask.ident] = r
@@ -149,6 +147,15 @@
             r.tried is not None and r.tried.kept))
         return r.number
 
+    @staticmethod
+    def _not_taken(entry: Entry | None, doubted: bool) -> Answer:
+        """The answer at once to what is not taken: what has run, or may have, is never refused."""
+        if entry is not None and entry.result is not None:
+            return Answer(Verdict.SERVED, entry.result)
+        if doubted or (entry is not None and entry.ran):
+            return Answer(Verdict.FAILED)
+        return Answer(Verdict.REFUSED, back_off=UNSERVED_BACK_OFF)
+
     def _watch(self, storms: Storms, r: Request, new: bool) -> float:
         """Tell a try that comes again from new work; returns the rank at which the module is told of it."""
         ask, n = r.ask, len(self.settings.classes)
@@ -235,7 +242,7 @@
         self.repeats.inherit(entry, gone, next(self.numbers))
 
     def doubt(self) -> None:
-        """The process before never told its keys: no new one is run until those of its runs have passed."""
+        """The process before never told its keys: new ones fail until those of its runs have passed."""
         windows = [c.window for c in self.settings.classes if c.effect is i.Effect.KEYED]
         self.repeats.doubt_until = self._read_clock() + max(windows, default=0.0) + self.settings.answer_slack
         self.log("keys-in-doubt", until=self.repeats.doubt_until)
