An answer that ends its connection is not cut off where it is long and read slowly

Seen on reading the mend of connections' ends again: what was left in the process's own buffer 0.2 s after the end was dropped, so a long answer of the administration (Connection: close) lost its rest. It has as long as a stuck reader has, 2 s. Test seen to fail.

--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -71,20 +71,26 @@
             self.buffer.consume(len(self.buffer))
             self.transport.resume_reading()
             self.transport.write_eof()
-            self.listener.loop.call_later(self.LINGER, self.abort)
+            self._abort_later()
 
     def eof_received(self) -> bool:
-        self._unread()
+        if self._unread():
+            self._abort_later()
         return super().eof_received()
 
     def close(self) -> None:
-        self._unread()
+        if self._unread():
+            self._abort_later()
         super().close()
 
-    def _unread(self) -> None:
-        """It ends: what the peer has left unread for long must not hold the descriptor until it is read."""
-        if self.transport is not None and self.transport.get_write_buffer_size():
-            self.listener.loop.call_later(self.LINGER, self.abort)
+    def _unread(self) -> bool:
+        """Whether something is still here that the peer has not made room for."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+    def _abort_later(self) -> None:
+        """It ends: what the peer leaves unread must not hold the descriptor for ever."""
+        wait = self.listener.READ_WAIT if self._unread() else self.LINGER
+        self.listener.loop.call_later(wait, self.abort)
 
     def expire(self) -> None:
         """The next request has not come whole in its time."""
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -136,7 +136,7 @@
 @pytest.mark.parametrize("end", ["idle", "half-closed"])
 def test_answers_that_are_never_read_do_not_hold_a_descriptor(
         end: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(ServerConnection, "LINGER", 0.02)
+    monkeypatch.setattr(Listener, "READ_WAIT", 0.02)
 
     async def play() -> None:
         async with Pool() as pool, running(pool=pool.address) as app:
@@ -162,6 +162,28 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("ended", ["end", "close"])
+def test_a_long_answer_that_is_read_slowly_is_not_cut_off(
+        ended: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ServerConnection, "LINGER", 0.0)
+    monkeypatch.setattr(Listener, "READ_WAIT", 60.0)
+
+    async def play() -> None:
+        async with Pool() as pool, running(pool=pool.address) as app:
+            client = await HttpClient(app.addresses["http"]).open()
+            await until(lambda: len(app.listeners[0].connections) == 1)
+            served = next(iter(app.listeners[0].connections))
+            served.send(b"x" * (16 << 20))
+            assert served.transport is not None and served.transport.get_write_buffer_size()
+            getattr(served, ended)()
+            for _ in range(100):  # turns in which nothing is read
+                await asyncio.sleep(0)
+            assert len(await client.reader.read()) == 16 << 20
+            client.writer.close()
+
+    asyncio.run(play())
+
+
 def test_a_call_that_waits_takes_the_place_of_one_given_up_while_it_connected(
         monkeypatch: pytest.MonkeyPatch) -> None:
     begun: list[bytes] = []
