--- a/saltcart/settings.py
+++ b/saltcart/settings.py
@@ -54,11 +54,11 @@
             raise WireError(f"{self.where}: field {key} is out of range: {value}")
         return value
 
-    def integer(self, key: str, default: Any = _ABSENT, low: int = 0) -> Any:
+    def integer(self, key: str, default: Any = _ABSENT, low: int = 0, high: float = math.inf) -> Any:
         value = self._get(key, default)
         if value is default:
             return value
-        if isinstance(value, bool) or not isinstance(value, int) or not low <= value <= MOST:
+        if isinstance(value, bool) or not isinstance(value, int) or not low <= value <= high:
             raise WireError(f"{self.where}: field {key} is not a whole number from {low} up")
         return value
 
@@ -133,7 +133,7 @@
         tenants.append(i.TenantSpec(called, t.number("quotaPerS", 0.0), t.number("share", 0.0)))
     stays = limits.flag("retryAfter", False)
     return i.Settings(
-        classes=tuple(classes), tenants=tuple(tenants), cores=extra.integer("cores", low=1),
+        classes=tuple(classes), tenants=tuple(tenants), cores=extra.integer("cores", low=1, high=MOST),
         memory_kb=extra.number("memLimitKb", low=1e-6), answer_slack=contract.number("answerSlack"),
         drain_grace=contract.number("drainGrace"), crowd_limit=contract.number("fallMultiple", low=1),
         crowd_span=contract.number("fall"), cold_from=contract.number("coldFrom", 1.0, high=1),
@@ -149,6 +149,7 @@
         entry_kb=extra.number("keyKb", 0.0), fresh=extra.number("fresh", 0.0),
         heard_for=extra.number("heardFor", 0.0), idle=extra.number("idle", 0.0),
         max_stay_away=limits.number("maxRetryAfter", 0.0) if stays else 0.0,
-        servers=f.integer("replicasOfMe", 1), callers=extra.integer("clientsTotal", 1),
+        servers=f.integer("replicasOfMe", 1, high=MOST),
+        callers=extra.integer("clientsTotal", 1, high=MOST),
         step=f.number("quantum", 0.001, low=1e-6), tier=f.integer("tier", 0),
     )
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -96,3 +96,9 @@
 def test_input_cut_within_a_batch_is_malformed() -> None:
     result = talk([BOOT], tail='{"verb":"sync","simTime":6,"serial":1}\n')
     assert result.returncode != 0 and "commit" in result.stderr
+
+
+def test_seeds_and_ids_may_be_as_large_as_the_wire_has_them() -> None:
+    result = talk([{**BOOT, "initSeed": 2 ** 64 - 1}], [{**ASK, "msgId": 2 ** 52 - 1}])
+    assert result.returncode == 0 and result.stderr == ""
+    assert {"verb": "process", "msgId": 2 ** 52 - 1, "worker": 4} in map(json.loads, result.stdout.splitlines())
