--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -101,4 +101,5 @@
 def test_seeds_and_ids_may_be_as_large_as_the_wire_has_them() -> None:
     result = talk([{**BOOT, "initSeed": 2 ** 64 - 1}], [{**ASK, "msgId": 2 ** 52 - 1}])
     assert result.returncode == 0 and result.stderr == ""
-    assert {"verb": "process", "msgId": 2 ** 52 - 1, "worker": 4} in map(json.loads, result.stdout.splitlines())
+    said = map(json.loads, result.stdout.splitlines())
+    assert {"verb": "process", "msgId": 2 ** 52 - 1, "worker": 4} in said
