Tests: either front's client, an id's form and a write past a transport have one place

Read in the whole change: test_moments.py wrote again what test_endings.py did by hand (a write to the client's socket in the same turn), and six files had their own ident(), deployment of both fronts or choice of client by front. They are in tests/standins.py now.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -11,7 +13,7 @@
 from saltcart.app import App
 from saltcart.config import Config, read_config
 from saltcart.core.ports import Log
-from saltcart.deployment import Deployment
+from saltcart.deployment import AjpFront, Deployment
 from saltcart.net.clock import Clock
 from saltcart.wire import ajp, http1
 from saltcart.wire.buffer import Buffer
@@ -35,6 +37,10 @@
             "limits": {"sockets": 256}, "settings": SETTINGS, **more}
 
 
+def ident(number: int) -> bytes:
+    return b"%016x" % number
+
+
 class Server:
     """A stand-in server on a free port; remembers its connections so that a test can cut them."""
 
@@ -178,6 +184,16 @@
         self.writer.transport.abort()
 
 
+def at_once(client: HttpClient) -> Callable[[bytes], None]:
+    """Writes to the client's socket in this very turn, past its transport."""
+    def write(data: bytes) -> None:
+        with socket.socket(fileno=os.dup(client.writer.get_extra_info("socket").fileno())) as raw:
+            raw.sendall(data)
+
+    client.writer.write = write  # type: ignore[assignment, method-assign]
+    return write
+
+
 class AjpClient(HttpClient):
     """A gateway's half of AJP."""
 
@@ -212,6 +228,10 @@
         return http1.Response(message.status, message.headers, message.body, message.reuse)
 
 
+CLIENTS = {"http": HttpClient, "ajp": AjpClient}
+BOTH_FRONTS = Deployment(ajp=AjpFront("127.0.0.1:0"))
+
+
 class AjpServer(Server):
     """A stand-in AJP container; ``act`` decides what becomes of each request."""
 
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -9,12 +9,9 @@
 import pytest
 
 from saltcart.config import ConfigError, read_config
-from saltcart.deployment import AjpFront, Deployment
 from tests.fakes import READ, World
 from tests.fakes import SETTINGS as CORE
-from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, raw_config, running
-
-AJP = Deployment(ajp=AjpFront("127.0.0.1:0"))
+from tests.standins import BOTH_FRONTS, CLIENTS, SETTINGS, HttpClient, Pool, raw_config, running
 
 
 def customer(classes: list[dict[str, Any]], tenants: list[str] | None = None, **extra: Any) -> dict[str, Any]:
@@ -37,8 +34,8 @@
         front: str, klass: str, path: str, account: str) -> None:
     async def play() -> None:
         settings = customer([service(klass)], ["other", account])
-        async with Pool() as pool, running(AJP, pool=pool.address, settings=settings) as app:
-            client = await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+        async with Pool() as pool, running(BOTH_FRONTS, pool=pool.address, settings=settings) as app:
+            client = await CLIENTS[front](app.addresses[front]).open()
             answer = await client.ask(1, path, account=account)
             assert (answer.status, answer.body) == (200, b"done x")
             assert b"spawn %016x %b 1" % (1, klass.encode()) in pool.told
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,7 +16,7 @@
 from saltcart import interface as i
 from saltcart.app import App
 from saltcart.config import read_config
-from saltcart.deployment import AjpFront, Deployment
+from saltcart.deployment import Deployment
 from saltcart.net.announcer import Announcer
 from saltcart.net.clock import Clock
 from saltcart.net.index import IndexClient
@@ -26,14 +26,12 @@
 from saltcart.wire import handover as wire
 from tests.fakes import ONCE, READ, World
 from tests.fakes import SETTINGS as CORE
-from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, Server, raw_config, running, until
+from tests.standins import (
+    BOTH_FRONTS, CLIENTS, SETTINGS, HttpClient, Pool, Server, at_once, ident, raw_config, running, until,
+)
 from tests.test_sockets import logged, start
 
 
-def ident(number: int) -> bytes:
-    return b"%016x" % number
-
-
 def failing(call: Callable[..., Any], times: int = 1) -> Callable[..., Any]:
     """``call``, which fails the first ``times`` in a way that nobody thought of."""
     left = [times]
@@ -146,8 +144,8 @@
 
     async def play() -> None:
         async with Pool() as pool, running(
-                Deployment(ajp=AjpFront("127.0.0.1:0")), clock=Clock(unix), pool=pool.address) as app:
-            one, two = [await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+                BOTH_FRONTS, clock=Clock(unix), pool=pool.address) as app:
+            one, two = [await CLIENTS[front](app.addresses[front]).open()
                         for _ in range(2)]
             assert (await one.ask(1, "oddaja", key="k", received=unix.stamp())).status == 200
             pool.auto = False
@@ -195,9 +193,9 @@
 
     async def play() -> None:
         async with Pool() as pool, running(
-                Deployment(ajp=AjpFront("127.0.0.1:0")), pool=pool.address,
+                BOTH_FRONTS, pool=pool.address,
                 log=lambda event, **_: logged.append(event)) as app:
-            clients = [await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+            clients = [await CLIENTS[front](app.addresses[front]).open()
                        for _ in range(3)]
             for n in range(1, 9):
                 assert (await clients[0].ask(n)).status == 200
@@ -455,10 +453,9 @@
             for connection in listener.resting:
                 connection.since -= 100.0
             # In one and the same turn: the request is written, and the sweep finds its connection idle.
-            with socket.socket(fileno=socket.dup(client.writer.get_extra_info("socket").fileno())) as raw:
-                client.writer.write = raw.sendall  # type: ignore[assignment, method-assign]
-                client.send(3)
-                listener._sweep()
+            at_once(client)
+            client.send(3)
+            listener._sweep()
             assert (await asyncio.wait_for(client.answer(), 10)).status == 200
             assert await asyncio.wait_for(idle.reader.read(), 10) == b""  # the other one was idle
 
@@ -526,9 +523,9 @@
     """A close is the protocol's word that nobody waits; bytes of a further request change nothing in it."""
     async def play() -> None:
         async with Pool(auto=False) as pool, running(
-                Deployment(ajp=AjpFront("127.0.0.1:0")), pool=pool.address) as app:
+                BOTH_FRONTS, pool=pool.address) as app:
             service, listener = app.service, app.fronts[front]
-            client = await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+            client = await CLIENTS[front](app.addresses[front]).open()
             if moment == "half a body":
                 held: list[bytes] = []
                 write, client.writer.write = client.writer.write, held.append  # type: ignore[assignment, method-assign]
@@ -554,7 +551,7 @@
             assert service.controller is not None and service.controller.memory == 0
             assert not any(service.controller.count) and ident(2) not in pool.spawned
             pool.auto = True
-            again = await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+            again = await CLIENTS[front](app.addresses[front]).open()
             assert (await again.ask(3)).status == 200
 
     asyncio.run(play())
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -5,36 +5,20 @@
 import asyncio
 import os
 import signal
-import socket
-from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from saltcart import interface as i
 from saltcart.balance import Controller
-from saltcart.deployment import AjpFront, Deployment
 from saltcart.log import JsonLog
 from saltcart.net.index import Call, IndexClient
 from saltcart.net.listener import Listener, ServerConnection
 from saltcart.net.signals import on_notice
 from tests.fakes import SETTINGS as CORE
 from tests.fakes import World
-from tests.standins import AjpClient, HttpClient, Pool, running, until
-from tests.test_endings import ident, short
-
-AJP = Deployment(ajp=AjpFront("127.0.0.1:0"))
-CLIENTS = {"http": HttpClient, "ajp": AjpClient}
-
-
-def at_once(client: HttpClient) -> Callable[[bytes], None]:
-    """Writes to the client's socket in this very turn, past its transport."""
-    def write(data: bytes) -> None:
-        with socket.socket(fileno=os.dup(client.writer.get_extra_info("socket").fileno())) as raw:
-            raw.sendall(data)
-
-    client.writer.write = write  # type: ignore[assignment, method-assign]
-    return write
+from tests.standins import BOTH_FRONTS, CLIENTS, HttpClient, Pool, at_once, ident, running, until
+from tests.test_endings import short
 
 
 def test_a_drain_counts_from_the_notice_though_a_long_turn_hides_it() -> None:
@@ -91,7 +75,7 @@
 def test_a_request_that_waits_at_a_new_connection_in_a_long_turn_is_read_before_its_time_is_over(
         front: str) -> None:
     async def play() -> None:
-        async with Pool() as pool, running(AJP, pool=pool.address) as app:
+        async with Pool() as pool, running(BOTH_FRONTS, pool=pool.address) as app:
             listener = app.fronts[front]
             listener.turns.stop()
             client = await CLIENTS[front](app.addresses[front]).open()
@@ -115,7 +99,7 @@
     monkeypatch.setattr(ServerConnection, "LINGER", 60.0)  # what ends it is the client's close
 
     async def play() -> None:
-        async with Pool(auto=False) as pool, running(AJP, pool=pool.address) as app:
+        async with Pool(auto=False) as pool, running(BOTH_FRONTS, pool=pool.address) as app:
             listener = app.fronts[front]
             listener.turns.stop()
             client = await CLIENTS[front](app.addresses[front]).open()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -16,15 +16,11 @@
 
 from saltcart.deployment import AjpFront, Deployment
 from saltcart.net.listener import Listener
-from tests.standins import AjpClient, HttpClient, Pool, Server, raw_config, running, until
+from tests.standins import CLIENTS, HttpClient, Pool, Server, ident, raw_config, running, until
 
 ROOT = Path(__file__).resolve().parent.parent
 
 
-def ident(number: int) -> bytes:
-    return b"%016x" % number
-
-
 def test_answers_carry_the_result_unchanged_and_the_connection_lives_on() -> None:
     async def play() -> None:
         async with Pool() as pool, running(pool=pool.address) as app:
@@ -161,7 +157,7 @@
     async def play() -> None:
         async with Pool() as pool, running(Deployment(ajp=AjpFront("127.0.0.1:0")), pool=pool.address) as app:
             for name, value in BAD:
-                client = await (AjpClient if front == "ajp" else HttpClient)(app.addresses[front]).open()
+                client = await CLIENTS[front](app.addresses[front]).open()
                 client.changed = {name: value}
                 assert (await client.ask(1, body=b"x")).status == 400, (name, value)
                 client.drop()
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -20,14 +20,10 @@
 from saltcart.wire import handover as wire
 from saltcart.wire.errors import Malformed
 from tests.fakes import World
-from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, fields, raw_config, running, until
+from tests.standins import SETTINGS, AjpClient, HttpClient, Pool, fields, ident, raw_config, running, until
 from tests.test_sockets import logged, start
 
 
-def ident(number: int) -> bytes:
-    return b"%016x" % number
-
-
 ENTRY = Entry(("a", "oddaja", b"k\xff"), 3, 12.5, b"\x00\x01", {ident(1), ident(2)}, True, True, b"\n{}\0")
 
 
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -7,18 +7,11 @@
 
 import pytest
 
-from saltcart.deployment import AjpFront, Deployment
 from saltcart.net import index
 from saltcart.net import pool as pool_link
 from saltcart.net.listener import Listener
 from saltcart.wire import ajp
-from tests.standins import HttpClient, Pool, Server, running, until
-
-AJP = Deployment(ajp=AjpFront("127.0.0.1:0"))
-
-
-def ident(number: int) -> bytes:
-    return b"%016x" % number
+from tests.standins import BOTH_FRONTS, HttpClient, Pool, Server, ident, running, until
 
 
 def link(pool: Pool) -> asyncio.StreamWriter:
@@ -46,7 +39,7 @@
     monkeypatch.setattr(Listener, "READ_WAIT", 0.4)
 
     async def play() -> None:
-        async with Pool() as pool, running(AJP, pool=pool.address) as app:
+        async with Pool() as pool, running(BOTH_FRONTS, pool=pool.address) as app:
             host, port = app.addresses[front].split(":")
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(data)
