Review cases: one runner, one set of declarations, ports that nothing else can take

Need: the cases repeated their main part, and a port that was free when it was chosen could be taken by an outgoing connection before the service listened on it (seen with thirty services).

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,18 +7,19 @@
 import random
 import signal
 import sys
-import tempfile
 from pathlib import Path
 
 from rig.balancer import Balancer
+from rig.case import has_trouble, run_case
+from rig.declarations import failing_run, find_repeated_runs, lodge_all
 from rig.peers import AnnounceService, Index
 from rig.pool import Plan, Pool
 from rig.record import Record
 from rig.services import CaseError, Service, free_address, hold_listening_socket
-from rig.site import ACCOUNT, KEY_WINDOW_SECONDS, config
+from rig.site import ACCOUNT, config
 
 HERE = Path(__file__).resolve().parent
-HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HAS_TROUBLE = has_trouble()
 SEED = int(os.environ.get("SEED", "5"))  # of the sizes of the reads
 READ_PAIRS = 12
 STOP_MS = 3200
@@ -26,7 +27,6 @@
 READ_SECONDS = 0.15
 LAST_READ_SECONDS = 0.2  # after the drain notice
 DECLARATIONS = 20
-TRIES = 4  # of each declaration
 
 
 class Runs:
@@ -38,7 +38,7 @@
     def __call__(self, class_name: bytes, body: bytes) -> Plan:
         """Return what the run of a class and body does."""
         if class_name == b"oddaja":
-            return Plan((0.04,), end=b"FAIL")
+            return failing_run()
         if body == b"last":
             return Plan((0.0,), b"state of last", release=self.last_may_end)
         return Plan((READ_SECONDS if body == b"first" else READ_SECONDS / 2,), b"state of " + body)
@@ -61,34 +61,8 @@
     await first
 
 
-async def lodge(address: str, record: Record, number: int) -> None:
-    """Lodge one declaration: each try fails, and the client sends the next within the window."""
-    key, body = f"{number:032x}", b"declaration %d" % number
-    for _ in range(TRIES):
-        balancer = await Balancer(address, record).open()
-        await balancer.call("oddaja", ACCOUNT, body, 1500, 20.0, key)
-        balancer.close()
-        await asyncio.sleep(0.1)
-
-
-def find_repeated_runs(pools: list[Pool], record: Record) -> int:
-    """Return the number of declarations that were run again within the window of their first run."""
-    first_runs: dict[bytes, float] = {}
-    repeated = set[bytes]()
-    for started_at, body in sorted(
-        (run.started_at, run.body) for pool in pools for run in pool.runs if run.class_name == b"oddaja"
-    ):
-        first = first_runs.setdefault(body, started_at)
-        if first != started_at and started_at - first < KEY_WINDOW_SECONDS:
-            repeated.add(body)
-    record(
-        "check", "runs of declarations", ran=len(first_runs), ran_twice=sorted(map(bytes.decode, repeated))
-    )
-    return len(repeated)
-
-
-async def play(address: str, record: Record, folder: Path) -> int:
-    """Play the case, and return the exit status."""
+async def play(address: str, record: Record, folder: Path) -> bool:
+    """Play the case, and return whether the rule was broken."""
     announce, index = AnnounceService(record), Index(lambda body: (b"found", 0.01), record)
     runs = Runs()
     pools = [Pool("pool-old", runs, record), Pool("pool-new", runs, record)]
@@ -124,12 +98,8 @@
         runs.last_may_end.set()
         await last_pair
         await asyncio.sleep(0.1)
-        lodgings = []
-        for number in range(DECLARATIONS):
-            lodgings.append(asyncio.create_task(lodge(address, record, number)))
-            await asyncio.sleep(0.04)
-        await asyncio.gather(*lodgings)
-        return 1 if find_repeated_runs(pools, record) else 0
+        await lodge_all(address, record, DECLARATIONS)
+        return find_repeated_runs(pools, record) > 0
     finally:
         await old.end()
         await new.end()
@@ -137,21 +107,7 @@
             peer.close()
 
 
-def main() -> int:
-    """Run the case; return 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    address = hold_listening_socket()
-    record = Record(HERE / "record.txt")
-    status = 2
-    try:
-        with tempfile.TemporaryDirectory(prefix="case-") as folder:
-            status = asyncio.run(asyncio.wait_for(play(address, record, Path(folder)), 100))
-    except Exception as error:
-        record("case", "could not run", error=repr(error))
-    record("case", "ended", status=status)
-    record.close()
-    print({0: "held", 1: "BROKEN"}.get(status, "could not run"))
-    return status
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    # Before anything else is opened, as descriptor 3 must be free.
+    listening_address = hold_listening_socket()
+    sys.exit(run_case(HERE, lambda record, folder: play(listening_address, record, folder)))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,10 +6,10 @@
 import os
 import random
 import sys
-import tempfile
 from pathlib import Path
 
 from rig.balancer import Balancer
+from rig.case import has_trouble, run_case
 from rig.peers import AnnounceService, Index
 from rig.pool import Plan, Pool
 from rig.record import Record
@@ -17,7 +17,7 @@
 from rig.site import ACCOUNT, config
 
 HERE = Path(__file__).resolve().parent
-HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HAS_TROUBLE = has_trouble()
 SEED = int(os.environ.get("SEED", "1"))
 SERVICES = 4
 REQUESTS = int(os.environ.get("REQUESTS", "2000"))  # to each service
@@ -89,8 +89,8 @@
     return foreign
 
 
-async def play(record: Record, folder: Path) -> int:
-    """Play the case, and return the exit status."""
+async def play(record: Record, folder: Path) -> bool:
+    """Play the case, and return whether the rule was broken."""
     announce, index = AnnounceService(record), Index(reply_to, record)
     pools = [Pool(f"pool-{number}", Runs(SEED + number), record) for number in range(SERVICES)]
     for peer in (announce, index, *pools):
@@ -119,7 +119,7 @@
                 for number, service in enumerate(services)
             )
         )
-        return 1 if sum([find_foreign_replies(pool, record) for pool in pools]) else 0
+        return sum([find_foreign_replies(pool, record) for pool in pools]) > 0
     finally:
         for task in breaks:
             task.cancel()
@@ -129,20 +129,5 @@
             peer.close()
 
 
-def main() -> int:
-    """Run the case; return 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    record = Record(HERE / "record.txt")
-    status = 2
-    try:
-        with tempfile.TemporaryDirectory(prefix="case-") as folder:
-            status = asyncio.run(asyncio.wait_for(play(record, Path(folder)), 115))
-    except Exception as error:
-        record("case", "could not run", error=repr(error))
-    record("case", "ended", status=status)
-    record.close()
-    print({0: "held", 1: "BROKEN"}.get(status, "could not run"))
-    return status
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, play))
--- a/review/rig/peers.py
+++ b/review/rig/peers.py
@@ -36,7 +36,7 @@
                 body = await reader.readexactly(lengths[0])
                 self.record("announce", "report", body=body.decode("latin-1"))
                 writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, IndexError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, IndexError):
             pass
         finally:
             writer.close()
@@ -80,7 +80,7 @@
                     self.pending[place] = asyncio.get_running_loop().call_later(
                         seconds, self._answer, place, writer, reply
                     )
-        except (ConnectionError, asyncio.IncompleteReadError, ValueError, IndexError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError, IndexError):
             pass
         finally:
             for place in [place for place in self.pending if place[0] == id(writer)]:
--- a/review/rig/pool.py
+++ b/review/rig/pool.py
@@ -96,7 +96,7 @@
                     body = (await reader.readexactly(int(words[-1]) + 2))[:-2]
                 if not self._command(words, body, writer):
                     break
-        except (ConnectionError, asyncio.IncompleteReadError, ValueError, IndexError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError, IndexError):
             pass
         finally:
             if self.writer is writer:
--- a/review/rig/services.py
+++ b/review/rig/services.py
@@ -15,6 +15,9 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 LISTEN_DESCRIPTOR = 3  # the number under which every process inherits the clients' listening socket
+# Listeners of the service have an address of their own: a port that is free here now can't be taken by the
+# outgoing connections of the case, which come from 127.0.0.1.
+SERVICE_HOST = "127.0.0.2"
 READY_TIMEOUT_SECONDS = 25.0
 
 
@@ -38,10 +41,17 @@
     return address
 
 
+GIVEN_PORTS = set[int]()
+
+
 def free_address() -> str:
-    """Return a loopback address whose port is free."""
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return "{}:{}".format(*probe.getsockname())
+    """Return a loopback address whose port is free, and which was not returned before."""
+    while True:
+        with socket.create_server((SERVICE_HOST, 0)) as probe:
+            port = probe.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return f"{SERVICE_HOST}:{port}"
 
 
 class Service:
