--- a/review/rig/services.py
+++ b/review/rig/services.py
@@ -146,6 +146,12 @@
             await asyncio.sleep(0.05)
         raise CaseError(f"{self.label} did not say yes in time")
 
+    async def wait_until_ended(self) -> None:
+        """Wait for the end of the process, which ends by itself or is killed."""
+        assert self.process is not None
+        await self.process.wait()
+        self.record("platform", "ended", process=self.label, status=self.process.returncode)
+
     async def ask(self, command: str) -> str:
         """Send one line to the operators' address and return the answer; empty if there was none."""
         host, port = self.config["control"].split(":")
