--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
 import pytest
@@ -36,7 +37,8 @@
     TimerFired,
 )
 from saltcart.decision.outcome import Outcome
-from saltcart.decision.request import RequestState
+from saltcart.decision.request import Request, RequestState
+from saltcart.decision.request_table import RequestTable
 from saltcart.decision.settings import (
     ClassSpec,
     DependencyKind,
@@ -354,6 +356,25 @@
     assert host.controller.table.memory_kb >= 0
 
 
+@pytest.mark.parametrize("seed", range(1, 11))
+def test_a_table_that_has_become_empty_uses_exactly_no_memory(seed: int) -> None:
+    # Guards against a sum that drifts below 0: a successor refused that figure and ended the takeover.
+    sizes = random.Random(seed)
+    table = RequestTable(replace(BASE, key_entry_kb=187.82, run_memory_factor=16.0))
+    for first_id in range(0, 24, 2):
+        pair = []
+        for request_id in (first_id, first_id + 1):
+            event = RequestArrived(request_id, 0, round(sizes.uniform(17, 59), 1), 0.5)
+            pair.append(Request(event, 0.0, 3.0, 1.0, None))
+            table.add(pair[-1])
+            table.reserve_key(request_id)
+            table.start_run(pair[-1], 0.0)
+        for request in reversed(pair):
+            table.release_key(request.id)
+            table.remove(request)
+    assert table.memory_kb == 0
+
+
 def test_rare_longer_timeouts_do_not_make_first_attempts_look_old() -> None:
     host = ControllerHost()
     for n in range(1, 9):
