Takeover: a closed link is no longer taken for the end of a process that still runs

A link can close for many reasons, so the process at its other end is now watched by a descriptor that the kernel makes readable when it ends (PeerProcess: SO_PEERCRED, pidfd_open). HandoverLink reports the loss of the link and the end of the peer apart, and in a turn of its own, since the code that sends may be in the middle of handing over. While a successor runs, its predecessor serves no more: it ends its connections with their answers and fails new keys. A successor fails what waits for runs of an unreachable predecessor, but counts its load until that has ended. Where a process can't be watched (no such descriptors, another process namespace), the closed link counts as its end, as before.

Evidence: three new tests with a peer in a process of its own, which fail before the change (predecessor serves again, connections stay, load is forgotten) and pass with it.

--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -258,11 +258,15 @@
         self.lifecycle.attempts.uncertain_until = until
         self.log("keys-uncertain", until=until)
 
+    def predecessor_unreachable(self) -> None:
+        """Fail the attempts that wait for runs in a predecessor that still runs but reports nothing more."""
+        self.clock.read()
+        self.lifecycle.attempts.predecessor_lost()
+
     def predecessor_lost(self) -> None:
         """Handle the loss of the predecessor and of its runs."""
-        self.clock.read()
+        self.predecessor_unreachable()
         self.loop.feed(PredecessorLoad())
-        self.lifecycle.attempts.predecessor_lost()
 
     # ---- events from the pool and the dependency ----------------------------------------------
 
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -238,7 +238,7 @@
             self.service.ports.storm_control.record_advice(
                 self.service.clock.read_seconds(), self.source, response.retry_after_seconds
             )
-        if self.service.idle_timeout < MIN_IDLE_TIMEOUT_SECONDS:
+        if self.listener.ends_connections or self.service.idle_timeout < MIN_IDLE_TIMEOUT_SECONDS:
             self.keep_alive = False
         self.respond(STATUS_CODES[response.status], response.body, response_headers(response))
         self.hand_over()
--- a/saltcart/net/handover.py
+++ b/saltcart/net/handover.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from saltcart.net.peer_process import PeerProcess
 from saltcart.wire.errors import MalformedMessageError
 from saltcart.wire.handover import MAX_PACKET_BYTES, HandoverPacket, decode, encode
 
@@ -26,6 +27,9 @@
 class HandoverLink:
     """A connection between predecessor and successor, which owns its socket.
 
+    The end of the connection and the end of the peer are reported apart, because a link may be lost while
+    both processes live.
+
     A file descriptor is sent at once or not at all, so that a queue never keeps a second copy of it open.
     """
 
@@ -36,8 +40,12 @@
         self.on_packet: Callable[[HandoverPacket, int | None], None] = lambda packet, descriptor: None
         # Called with the error that tells why a packet could not be decoded.
         self.on_undecodable: Callable[[MalformedMessageError], None] = lambda error: None
-        self.on_closed: Callable[[], None] = lambda: None
+        # Called after the link was lost if the peer still runs.
+        self.on_link_lost: Callable[[], None] = lambda: None
+        # Called once the link was lost and the peer has ended, or can't be watched.
+        self.on_peer_ended: Callable[[], None] = lambda: None
         self.is_open = True
+        self.peer = PeerProcess.find(link_socket)
         link_socket.setblocking(False)
         link_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
@@ -73,12 +81,18 @@
             socket.send_fds(self.socket, [encode(packet)], [descriptor])
         except OSError as error:
             if not isinstance(error, BlockingIOError) and error.errno != errno.ETOOMANYREFS:
-                self.close()
+                self._lose()
             return False
         return True
 
     def close(self) -> None:
-        """Close the link.  Unsent packets are lost."""
+        """Close the link and report nothing more.  Unsent packets are lost."""
+        self.on_link_lost = self.on_peer_ended = lambda: None
+        self._close_socket()
+        if self.peer is not None:
+            self.peer.close()
+
+    def _close_socket(self) -> None:
         if not self.is_open:
             return
         self.is_open = False
@@ -86,7 +100,21 @@
         self.loop.remove_writer(self.socket)
         self.socket.close()
         self.unsent_packets.clear()
-        self.on_closed()
+
+    def _lose(self) -> None:
+        """Close a link that the peer has closed or that fails; the caller may be about to send more."""
+        self._close_socket()
+        self.loop.call_soon(self._report_loss)
+
+    def _report_loss(self) -> None:
+        if self.peer is None:
+            self.on_peer_ended()
+        elif self.peer.has_ended():
+            self.peer.close()
+            self.on_peer_ended()
+        else:
+            self.on_link_lost()
+            self.peer.call_at_end(self.on_peer_ended)
 
     def _write(self) -> None:
         while self.is_open and self.unsent_packets:
@@ -96,7 +124,7 @@
                 self.loop.add_writer(self.socket, self._write)
                 return
             except OSError:
-                self.close()
+                self._lose()
                 return
             self.unsent_packets.popleft()
         if self.is_open:
@@ -114,7 +142,7 @@
         for extra_descriptor in descriptors[1:]:
             os.close(extra_descriptor)
         if not data:
-            self.close()
+            self._lose()
             return
         descriptor = descriptors[0] if descriptors else None
         try:
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -156,6 +156,8 @@
         # Set once another process takes over: passes it a connection with the unprocessed bytes read from it,
         # and returns whether that succeeded.
         self.pass_connection: Callable[[ServerConnection, bytes], bool] | None = None
+        # Set while another process serves and connections can't be passed to it: each ends with its response.
+        self.ends_connections = False
         # Connections that the predecessor still holds; they count against the same limit.
         self.predecessor_connections = 0
         self.loop = asyncio.get_running_loop()
@@ -316,7 +318,7 @@
         now = self.loop.time()
         timed_out_before, idle_too_long_before = (
             now - self.REQUEST_TIMEOUT_SECONDS,
-            now - max(self.SWEEP_INTERVAL_SECONDS, self.idle_timeout()),
+            now if self.ends_connections else now - max(self.SWEEP_INTERVAL_SECONDS, self.idle_timeout()),
         )
         due = {
             c: c.state_since
--- a/saltcart/takeover.py
+++ b/saltcart/takeover.py
@@ -72,7 +72,8 @@
         self.link = link
         link.on_packet = self._on_packet
         link.on_undecodable = lambda error: self._on_malformed(None, error)
-        link.on_closed = self._on_closed
+        link.on_link_lost = self._on_link_lost
+        link.on_peer_ended = self._on_ended
         link.start()
         if self.index is not None:
             self.index.max_connections //= 2  # the descriptor limit applies to both processes together
@@ -160,7 +161,13 @@
             while not self.fronts:
                 await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
-    def _on_closed(self) -> None:
+    def _on_link_lost(self) -> None:
+        """Handle the loss of the link to a predecessor that still runs and uses cores and memory."""
+        self.log("takeover-link-lost", peer="predecessor")
+        self.handover_ended.set()
+        self.service.predecessor_unreachable()
+
+    def _on_ended(self) -> None:
         """Handle the end of the predecessor, which reports no further keys or results."""
         self.link = None
         self.handover_ended.set()
@@ -184,6 +191,7 @@
         self.service = service
         self.log = log
         self.fronts = fronts
+        # Set while a successor serves, even if the link to it was lost.
         self.link: HandoverLink | None = None
         # The load and the number of client connections.
         self.last_sent_load: tuple[PredecessorLoad, int] | None = None
@@ -249,13 +257,24 @@
                     passed_count += connection.hand_over()
         return passed_count
 
+    def end_connections(self) -> None:
+        """End the remaining connections, because the link to the successor, which still serves, was lost.
+
+        This process starts no runs, but it has to answer requests that arrive on these connections.
+        """
+        self._continue_connections(ends_connections=True)
+
     def cancel_hand_over(self) -> None:
         """Serve the remaining connections again, because the successor is gone."""
         self.link = None
-        self.stop_passing()
         self.service.lifecycle.attempts.cancel_hand_over()
+        self._continue_connections(ends_connections=False)
+
+    def _continue_connections(self, *, ends_connections: bool) -> None:
+        self.stop_passing()
         for listener in self.fronts.values():
             listener.pass_connection = None
+            listener.ends_connections = ends_connections
             for connection in list(listener.connections):
                 if isinstance(connection, FrontConnection):
                     connection.continue_reading()
@@ -332,7 +351,8 @@
             return
         link.on_packet = lambda packet, descriptor: self._on_packet(link, packet, descriptor)
         link.on_undecodable = lambda error: self.log("handover-malformed", kind=None, error=str(error))
-        link.on_closed = lambda: self._on_successor_lost(link)
+        link.on_link_lost = lambda: self._on_successor_link_lost(link)
+        link.on_peer_ended = lambda: self._on_successor_ended(link)
         link.start()
 
     def _on_packet(self, link: HandoverLink, packet: HandoverPacket, descriptor: int | None) -> None:
@@ -350,7 +370,15 @@
             self.announcer.close()  # the successor's reports now keep the entry in the endpoint list
         self.successor.hand_over(link)
 
-    def _on_successor_lost(self, link: HandoverLink) -> None:
+    def _on_successor_link_lost(self, link: HandoverLink) -> None:
+        """Leave serving to a successor that still runs, although no connection or key can be passed to it."""
+        if self.successor.link is not link or self.is_closed:
+            return
+        self.log("takeover-link-lost", peer="successor")
+        self.service.mark_keys_uncertain()
+        self.successor.end_connections()
+
+    def _on_successor_ended(self, link: HandoverLink) -> None:
         """Continue to serve without a successor, or drain if the drain notice has been received."""
         if self.successor.link is not link or self.is_closed:
             return
--- a/tests/test_takeover_links.py
+++ b/tests/test_takeover_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import sys
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -25,6 +26,7 @@
 KEY_FIELDS = wire.key_packet(KeyRecord(("acme", "oddaja", b"k"), 1, 1e9, b"\0"), False).fields
 LOAD_FIELDS = wire.load_packet(PredecessorLoad(), 0).fields
 SOCKET_NAME = "saltcart-n1"
+ROOT = Path(__file__).parents[1]
 
 
 class EventLog:
@@ -65,6 +67,27 @@
     return link
 
 
+@asynccontextmanager
+async def peer_process(*arguments: str) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Start ``tests.handover_peer``, and yield it once the other process may begin."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "tests.handover_peer", *arguments, cwd=ROOT, stdout=asyncio.subprocess.PIPE
+    )
+    try:
+        await wait_for_line(process, b"ready\n")
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def wait_for_line(process: asyncio.subprocess.Process, expected: bytes) -> None:
+    assert process.stdout is not None
+    async with asyncio.timeout(20):
+        assert await process.stdout.readline() == expected
+
+
 @asynccontextmanager
 async def taking_over(
     platform: Platform, pool: Pool, log: EventLog
@@ -150,3 +173,66 @@
             link.close()
 
     asyncio.run(scenario())
+
+
+def test_a_predecessor_serves_again_only_once_its_successor_has_ended(platform: Platform) -> None:
+    # Guards against two processes that serve: a closed link was taken for the end of the successor.
+    async def scenario() -> None:
+        log = EventLog()
+        async with (
+            Pool() as pool,
+            running(None, platform.environment, log, pool=pool.address) as predecessor,
+            peer_process("successor", str(platform.folder / SOCKET_NAME)) as successor,
+        ):
+            await wait_for_line(successor, b"closed\n")
+            await until(lambda: bool(log.find("takeover-link-lost")))
+            assert predecessor.fronts["http"].server is None and not log.find("takeover-reverted")
+            successor.kill()
+            await until(lambda: bool(log.find("takeover-reverted")))
+            assert (await (await HttpClient(platform.address).open()).post(1)).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_connections_that_cannot_be_passed_end_with_the_next_response(platform: Platform) -> None:
+    # Guards against a client that stays at the old process, which paused reading until it could pass it on.
+    async def scenario() -> None:
+        log = EventLog()
+        async with (
+            Pool(finishes_runs=False) as pool,
+            running(None, platform.environment, log, pool=pool.address) as predecessor,
+        ):
+            busy = await HttpClient(platform.address).open()
+            busy.send(1)
+            await until(lambda: len(pool.spawned) == 1)
+            async with peer_process("successor", str(platform.folder / SOCKET_NAME)) as successor:
+                await wait_for_line(successor, b"closed\n")
+                await until(lambda: bool(log.find("takeover-link-lost")))
+                pool.finish(pool.spawned[0])
+                response = await busy.read_response()
+                assert (response.status, response.keep_alive) == (200, False)
+                await until(lambda: not predecessor.fronts["http"].connections)
+
+    asyncio.run(scenario())
+
+
+def test_a_living_predecessor_counts_on_the_cores_after_its_link_is_lost(platform: Platform) -> None:
+    # Guards against crowded cores: a closed link was taken for the end of the predecessor and its runs.
+    async def scenario() -> None:
+        log = EventLog()
+        load = wire.encode(wire.load_packet(PredecessorLoad(running=2), 3)).decode()
+        arguments = ("predecessor", str(platform.folder / SOCKET_NAME), load, HANDED_OVER.decode())
+        async with (
+            peer_process(*arguments) as predecessor,
+            Pool() as pool,
+            running(None, platform.environment, log, pool=pool.address) as successor,
+        ):
+            await until(lambda: bool(log.find("takeover-link-lost")))
+            controller = successor.service.controller
+            assert controller is not None and controller.predecessor.running == 2
+            assert successor.fronts["http"].predecessor_connections == 3
+            predecessor.kill()
+            await until(lambda: controller.predecessor.running == 0)
+            assert successor.fronts["http"].predecessor_connections == 0
+
+    asyncio.run(scenario())
