Takeover: keys that a dead successor ran do not run again in its predecessor

It knows nothing of its successor's runs, and counted none of them as uncertain, also where the successor has really died: a try that comes to the predecessor then ran a second time inside the key's window.

Once its successor has ended, the predecessor now fails keys that are new to it until the longest window has passed, as a successor does whose predecessor told it nothing. It answers 500, not 503, since the key may have run. Reads and unkeyed requests are served at once.

--- a/saltcart/core/idempotency.py
+++ b/saltcart/core/idempotency.py
@@ -158,7 +158,7 @@
             self._finish_waiting(current)
 
     def is_uncertain(self, arrived_at: float) -> bool:
-        """Whether a key that is new here may have a run that the predecessor didn't report."""
+        """Whether a key that is new here may have a run that another process didn't report."""
         return arrived_at <= self.uncertain_until
 
     def predecessor_lost(self) -> None:
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -251,7 +251,7 @@
         self.lifecycle.attempts.adopt(record, is_free, next(self.lifecycle.request_numbers))
 
     def mark_keys_uncertain(self) -> None:
-        """Fail new keys until the windows of any keys that the predecessor didn't report have passed."""
+        """Fail new keys until the windows of any keys that another process didn't report have passed."""
         classes = self.settings.classes
         windows = [spec.key_window for spec in classes if spec.effect is Effect.IDEMPOTENT_BY_KEY]
         until = self.clock.read() + max(windows, default=0.0) + self.settings.answer_slack
--- a/saltcart/takeover.py
+++ b/saltcart/takeover.py
@@ -383,6 +383,7 @@
         if self.successor.link is not link or self.is_closed:
             return
         self.successor.cancel_hand_over()
+        self.service.mark_keys_uncertain()  # the successor reported no runs of its own
         self.log("takeover-reverted", stopping=self.retired_at is not None)
         if self.retired_at is not None:
             notice_age = self.service.clock.read_seconds() - self.retired_at
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -291,6 +291,28 @@
     asyncio.run(scenario())
 
 
+def test_a_key_that_ran_in_a_successor_that_died_does_not_run_again(platform: dict[str, str]) -> None:
+    # Guards against a second run in the predecessor, which knows nothing of the runs of its successor.
+    address = prepare_platform(platform)
+
+    async def scenario() -> None:
+        async with (
+            Pool() as predecessor_pool,
+            Pool() as successor_pool,
+            running(None, platform, pool=predecessor_pool.address) as predecessor,
+        ):
+            async with running(None, platform, pool=successor_pool.address):
+                client = await HttpClient(address).open()
+                assert (await client.post(1, "oddaja", key="k")).status == 200
+                assert successor_pool.spawned == [encode_id(1)]
+            await until(lambda: predecessor.service.lifecycle.attempts.notify_successor is None)
+            client = await HttpClient(address).open()
+            assert (await client.post(2, "oddaja", key="k")).status == 500  # not rejected: it has run
+            assert (await client.post(3)).status == 200 and predecessor_pool.spawned == [encode_id(3)]
+
+    asyncio.run(scenario())
+
+
 def test_a_stopping_predecessor_drains_if_the_successor_dies(
     platform: dict[str, str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
