Pool: the reply to a call that may have arrived is not sent again on a new link

Cause: after a broken link PoolSession._resend_unconfirmed sent every command again that no poll had confirmed. "supply" carries an id and no notice number. A run that had the reply and came to its next call after the pool answered the poll of the new link, and before the repeated supply arrived, took that for the reply to this call. The record of one: supply (call 1, taken), link broken, bind, blocked (call 2), supply with the reply to call 1 (call 2, taken).

A supply that was sent on a lost link is now never sent again. The core is told instead (reply_uncertain): a run that may go on without its call gets "pass" with the number of the notice, which touches no other call; one that may not either has the reply or ends when it is due. To keep such doubts few, a poll follows each supply at once, as it does the start of a run that must not start twice, and a change of the pool's address waits for both. A supply that waited for the link is sent as before.

test_new_link_resends_only_commands_that_are_safe_to_repeat counts polls by number: each number after the supply is one higher, as that poll is new; it asks for the same results as before.

--- a/saltcart/core/ports.py
+++ b/saltcart/core/ports.py
@@ -216,6 +216,14 @@
     def run_uncertain(self, request_id: bytes) -> None:
         """Handle a connection lost while starting a run that must not start twice; it may have begun."""
 
+    def reply_uncertain(self, request_id: bytes, notice_number: int) -> None:
+        """Handle a connection lost while the reply to a call was sent; the run may still wait for it.
+
+        Args:
+            request_id: The request whose run has the reply or waits for it.
+            notice_number: The number of the notice that requested the call.
+        """
+
     def gauges_polled(self, values: tuple[float, ...]) -> None:
         """Handle the values of the gauges, in the order of their names in the settings."""
 
--- a/saltcart/core/run_tracker.py
+++ b/saltcart/core/run_tracker.py
@@ -99,6 +99,20 @@
         self._suspend(request_id)
         self.run_finished(request_id, Outcome.FAILED, 0.0, b"")
 
+    def reply_uncertain(self, request_id: bytes, notice_number: int) -> None:
+        """Handle a connection lost while the reply to a call was sent.
+
+        The run continues without the call if it still waits there; as the pool is told the number of the
+        notice, a run that has the reply is not affected.  A run that can't do without ends when it is due.
+        """
+        request = self._find_in_pool(request_id)
+        if request is None or request.phase is not RUNNING or request.call_notice_number != notice_number:
+            return
+        can_skip = request.spec.skipped_call_weight_share > 0
+        self.log("reply-uncertain", id=request_id.decode(), skipped=can_skip)
+        if can_skip:
+            self.ports.workers.skip_call(request_id, notice_number)
+
     def call_finished(self, request_id: bytes, outcome: Outcome, reply: bytes) -> None:
         """Handle the end of a call to the dependency."""
         request = self.lifecycle.requests_by_id.get(request_id)
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -321,6 +321,10 @@
         """Handle a connection lost while starting a run that must not start twice."""
         self.runs.run_uncertain(request_id)
 
+    def reply_uncertain(self, request_id: bytes, notice_number: int) -> None:
+        """Handle a connection lost while the reply to a call was sent."""
+        self.runs.reply_uncertain(request_id, notice_number)
+
     def gauges_polled(self, values: tuple[float, ...]) -> None:
         """Store the values of the gauges, in the order of ``gauge_names``."""
         self.loop.gauges_polled_at = self.clock.read()
--- a/saltcart/net/pool.py
+++ b/saltcart/net/pool.py
@@ -15,8 +15,8 @@
 # so that a pause of the machine does not count as silence of the pool.
 SILENCE_TIMEOUT_SECONDS, MAX_COUNTED_INTERVAL_SECONDS = 2.0, 0.1
 AGE_TOLERANCE_SECONDS = 1.0  # a pool that is younger than expected by more than this was restarted
-# Before the next connection is opened, the old one has this long to confirm the runs requested on it.
-UNCERTAIN_RUNS_TIMEOUT_SECONDS = 0.3
+# Before the next connection is opened, the old one has this long to confirm the commands sent on it.
+UNCERTAIN_COMMANDS_TIMEOUT_SECONDS = 0.3
 OUTCOMES = {
     b"PASS": Outcome.SUCCEEDED,
     b"FAIL": Outcome.FAILED,
@@ -119,8 +119,9 @@
     def change_address(self, peer: str) -> None:
         """Reconnect to another address; from now on nothing is sent on the old connection.
 
-        The old connection is still read until it has confirmed the start of runs that must not start twice.
-        A run whose start is unconfirmed when its connection ends cannot be requested again, and would fail.
+        The old connection is still read until it has confirmed the commands that must not be sent twice.
+        A run whose start is unconfirmed when its connection ends would fail, and one whose reply is
+        unconfirmed might have to go on without its call.
         """
         if parse_address(peer) == self.peer and self.next_address is None:
             return
@@ -128,7 +129,7 @@
         self.next_address = peer
         if self.address_change_timer is None:
             self.address_change_timer = asyncio.get_running_loop().call_later(
-                UNCERTAIN_RUNS_TIMEOUT_SECONDS, self.complete_address_change, True
+                UNCERTAIN_COMMANDS_TIMEOUT_SECONDS, self.complete_address_change, True
             )
         self.complete_address_change()
 
@@ -136,10 +137,10 @@
         """Reconnect to the next address, if there is one and the old connection has nothing to confirm.
 
         Args:
-            is_overdue: Whether to reconnect in spite of unconfirmed starts of runs.
+            is_overdue: Whether to reconnect in spite of unconfirmed commands.
         """
         if self.next_address is None or (
-            self.session.has_uncertain_run() and self.connection is not None and not is_overdue
+            self.session.has_uncertain_command() and self.connection is not None and not is_overdue
         ):
             return
         peer, self.next_address = self.next_address, None
@@ -171,6 +172,8 @@
                 self.events.pool_started(not is_warm, age)
             case wire.UncertainRun(request_id):
                 self.events.run_uncertain(request_id)
+            case wire.UncertainReply(request_id, notice_number):
+                self.events.reply_uncertain(request_id, notice_number)
             case wire.UnknownCommand(command, request_id):
                 self.log("pool-unknown", command=command.decode("latin-1"), id=request_id.decode("latin-1"))
                 # An unknown spawn started nothing; after any other command the pool no longer has the run.
--- a/saltcart/wire/pool.py
+++ b/saltcart/wire/pool.py
@@ -2,7 +2,7 @@
 
 ``PoolSession`` outlives the connections that it uses. It keeps the number of the last notice read, drops
 repeated notices, and resends commands that a lost connection may have dropped, unless that could start a run
-a second time.
+a second time or give a run the reply to one call as that to the next.
 """
 
 from __future__ import annotations
@@ -60,7 +60,14 @@
     request_id: bytes
 
 
-Message = Bound | Finished | Blocked | Polled | UnknownCommand | UncertainRun
+class UncertainReply(NamedTuple):
+    """It can no longer be determined whether this run received the reply to its call."""
+
+    request_id: bytes
+    notice_number: int  # of the call
+
+
+Message = Bound | Finished | Blocked | Polled | UnknownCommand | UncertainRun | UncertainReply
 
 
 @dataclass(slots=True)
@@ -75,6 +82,13 @@
     is_sent: bool
     data: bytes
 
+    def is_unrepeatable(self) -> bool:
+        """Return whether it was sent and must not be sent again.
+
+        A reply names no call: a run that has received it may wait at its next call when it is sent again.
+        """
+        return self.is_sent and (self.must_run_once or self.verb == b"supply")
+
 
 class PoolSession:
     """The service's side of the protocol.
@@ -111,9 +125,9 @@
         self.unconfirmed.clear()
         self.call_notices.clear()
 
-    def has_uncertain_run(self) -> bool:
-        """Return whether the start of a run that must not start twice was sent and is not yet confirmed."""
-        return any(c.must_run_once and c.is_sent for c in self.unconfirmed)
+    def has_uncertain_command(self) -> bool:
+        """Return whether a command that must not be sent twice was sent and is not yet confirmed."""
+        return any(command.is_unrepeatable() for command in self.unconfirmed)
 
     def _command(
         self,
@@ -154,7 +168,9 @@
     def supply_reply(self, request_id: bytes, reply: bytes) -> bytes:
         """Pass the dependency's reply to the run that waits for it."""
         data = b"supply %b %d\r\n%b\r\n" % (request_id, len(reply), reply)
-        return self._command(b"supply", request_id, data, notice_number=self.call_notices.pop(request_id, 0))
+        notice_number = self.call_notices.pop(request_id, 0)
+        # The reply to the poll confirms it; if the connection is lost first, it can't be sent again.
+        return self._command(b"supply", request_id, data, notice_number=notice_number) + self.poll()
 
     def skip_call(self, request_id: bytes, notice_number: int) -> bytes:
         """Resume a run without the call that the pool's notice of this number requested."""
@@ -247,17 +263,22 @@
     def _resend_unconfirmed(self) -> Iterator[Message | bytes]:
         """Resend the commands that the previous connection may have dropped.
 
-        A run that must not start twice is reported as uncertain instead, if its start was sent.
+        Those that must not be sent twice are reported as uncertain instead, if they were sent.
         """
         commands, self.unconfirmed = self.unconfirmed, deque()
         for command in commands:
-            if command.must_run_once and command.is_sent:
-                yield UncertainRun(command.request_id)
-            elif (
-                not command.notice_number
-                # Otherwise the run waits at a later call, to which this command does not apply.
-                or self.call_notices.get(command.request_id, command.notice_number) == command.notice_number
-            ):
+            if self._is_about_earlier_call(command):
+                continue
+            if not command.is_unrepeatable():
                 command.last_poll, command.is_sent = self.last_poll, True
                 self.unconfirmed.append(command)
                 yield command.data
+            elif command.must_run_once:
+                yield UncertainRun(command.request_id)
+            else:
+                yield UncertainReply(command.request_id, command.notice_number)
+
+    def _is_about_earlier_call(self, command: Command) -> bool:
+        """Return whether the run waits at a later call than the one that the command is about."""
+        later_notice = self.call_notices.get(command.request_id, command.notice_number)
+        return command.notice_number > 0 and later_notice != command.notice_number
--- a/tests/test_faulty_peers.py
+++ b/tests/test_faulty_peers.py
@@ -364,12 +364,55 @@
 # ---- the pool ---------------------------------------------------------------------------------
 
 
+@pytest.mark.parametrize("class_name", ["read", "oddaja"])
+def test_a_reply_sent_before_the_link_broke_is_not_sent_again(class_name: str) -> None:
+    # Guards against a run that gets the reply to its first call as that to its second.
+    async def answer_calls(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := await reader.readline():
+            words = line.split()
+            call = (await reader.readexactly(int(words[3]) + 2))[:-2]
+            writer.write(b"%b HIT %d\r\n%b\r\n" % (words[1], len(call), call))
+
+    async def run_scenario() -> None:
+        async with (
+            Server(answer_calls) as proxy,
+            Pool(finishes_runs=False) as pool,
+            running(pool=pool.address, index=proxy.address) as app,
+        ):
+            assert app.pool is not None
+            session, request_id = app.pool.session, encode_id(1)
+
+            def supplied_count() -> int:
+                return sum(line.startswith(b"supply " + request_id) for line in pool.received_lines)
+
+            client = await HttpClient(app.addresses["http"]).open()
+            client.send(1, class_name, key="k" if class_name == "oddaja" else None)
+            await until(lambda: pool.spawned == [request_id] and not session.unconfirmed)
+            pool.ignores_polls = True
+            pool.send_notice(b"blocked " + request_id, b"call 1")
+            await until(lambda: pool.bodies[request_id] == b"call 1")
+            pool.ignores_polls = False
+            pool.abort_connections()
+            await until(lambda: b"bind 1" in pool.received_lines and session.is_ready)
+            await until(lambda: not session.unconfirmed)
+            assert supplied_count() == 1
+            # A run that may go on without its call is told so under the number of that call alone.
+            assert (b"pass %b 1" % request_id in pool.received_lines) is (class_name == "read")
+            pool.send_notice(b"blocked " + request_id, b"call 2")
+            await until(lambda: pool.bodies[request_id] == b"call 2")
+            assert supplied_count() == 2
+            pool.finish(request_id)
+            assert (await client.read_response()).body == b"done call 2"
+
+    asyncio.run(run_scenario())
+
+
 @pytest.mark.parametrize("is_confirmed", [True, False])
 def test_a_change_of_address_waits_until_runs_are_confirmed(
     is_confirmed: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """If a link is closed before its poll is answered, a spawn that cannot be repeated fails."""
-    monkeypatch.setattr(pool_link, "UNCERTAIN_RUNS_TIMEOUT_SECONDS", 10.0 if is_confirmed else 0.1)
+    monkeypatch.setattr(pool_link, "UNCERTAIN_COMMANDS_TIMEOUT_SECONDS", 10.0 if is_confirmed else 0.1)
 
     async def run_scenario() -> None:
         async with (
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -198,6 +198,29 @@
     assert harness.statuses(1) == harness.statuses(2) == ["failed"] and len(harness.spawned_ids()) == 1
 
 
+@pytest.mark.parametrize(
+    ("class_name", "has_moved_on", "skips"),
+    [("read", False, True), ("read", True, False), ("oddaja", False, False)],
+)
+def test_run_whose_reply_is_uncertain_goes_on_without_its_call_where_it_can(
+    class_name: str, has_moved_on: bool, skips: bool
+) -> None:
+    # Guards against a run that waits until it is due for a reply that is not sent again.
+    harness = ServiceHarness()
+    harness.submit(1, class_name)
+    request_id = b"%016x" % 1
+    harness.service.call_requested(request_id, 7, b"question")
+    harness.service.call_finished(request_id, Outcome.SUCCEEDED, b"reply")
+    if has_moved_on:
+        harness.service.call_requested(request_id, 9, b"next question")
+    harness.port_calls.clear()
+    harness.service.reply_uncertain(request_id, 7)
+    assert harness.port_calls == ([("skip_call", request_id, 7)] if skips else [])
+    assert harness.statuses(1) == []
+    harness.finish_run(1)
+    assert harness.statuses(1) == ["served"]
+
+
 @pytest.mark.parametrize(
     "fields", [{"class_name": "nothing"}, {"account": "c"}, {"key": None}, {"number": 1}]
 )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -246,11 +246,11 @@
     assert all(sent)
     session.close_connection()
     assert session.spawn(b"l", b"c", b"x", True) == b""  # not sent on the lost link, so it may be sent later
-    assert sent[1].endswith(b"poll 3\r\n")  # a poll follows at once, to confirm the spawn
+    assert sent[1].endswith(b"poll 4\r\n")  # a poll follows at once, to confirm the spawn
     assert session.open_connection() == b"bind 1\r\n"
-    assert receive(b"bound EMPTY 9\r\n") == [pool.Bound(False, 0.009), b"poll 4\r\n"]
+    assert receive(b"bound EMPTY 9\r\n") == [pool.Bound(False, 0.009), b"poll 5\r\n"]
     # Run a waits at its second call by now, which must not be given the reply to the first.
-    results = receive(b"blocked 2 a 0\r\n\r\npolled 4\r\n")
+    results = receive(b"blocked 2 a 0\r\n\r\npolled 5\r\n")
     assert results == [
         pool.Blocked(b"a", 2, b""),
         sent[0],
@@ -260,6 +260,39 @@
     ]
 
 
+def test_reply_that_may_have_arrived_is_not_sent_again() -> None:
+    # Guards against the reply to one call being taken for that to the next, as a reply names no call.
+    session, buffer = pool.PoolSession(), Buffer()
+
+    def receive(data: bytes) -> list[Any]:
+        buffer.write(data)
+        return list(session.messages(buffer))
+
+    session.open_connection()
+    receive(b"bound EMPTY 0\r\npolled 1\r\n")
+    session.spawn(b"a", b"c", b"x", False)
+    session.spawn(b"b", b"c", b"x", False)
+    session.spawn(b"d", b"c", b"x", False)
+    receive(b"blocked 1 a 0\r\n\r\nblocked 2 b 0\r\n\r\nblocked 3 d 0\r\n\r\n")
+    assert session.supply_reply(b"a", b"r") == b"supply a 1\r\nr\r\npoll 2\r\n"
+    receive(b"polled 2\r\n")  # confirms the reply to run a
+    session.supply_reply(b"b", b"r")
+    assert session.has_uncertain_command()
+    session.close_connection()
+    assert session.supply_reply(b"d", b"r") == b""  # run d waits at its call for certain
+    session.open_connection()
+    assert receive(b"bound EMPTY 9\r\npolled 4\r\n") == [
+        pool.Bound(False, 0.009),
+        b"poll 4\r\n",
+        pool.UncertainReply(b"b", 2),
+        b"supply d 1\r\nr\r\n",
+        pool.Polled(()),
+    ]
+    assert session.has_uncertain_command()  # the reply to run d is unconfirmed now
+    receive(b"polled 5\r\n")
+    assert not session.has_uncertain_command()
+
+
 @pytest.mark.parametrize("step", [1, 100_000])
 @pytest.mark.parametrize(
     ("data", "expected"),
