--- a/saltcart/core/run_tracker.py
+++ b/saltcart/core/run_tracker.py
@@ -102,8 +102,8 @@
     def reply_uncertain(self, request_id: bytes, notice_number: int) -> None:
         """Handle a connection lost while the reply to a call was sent.
 
-        The run continues without the call if it still waits there; as the pool is told the number of the
-        notice, a run that has the reply is not affected.  A run that can't do without ends when it is due.
+        The run continues without the call if it still waits there; the command has the number of the notice,
+        so that a run that has the reply is not affected.  A run that needs the reply ends when it is due.
         """
         request = self._find_in_pool(request_id)
         if request is None or request.phase is not RUNNING or request.call_notice_number != notice_number:
--- a/saltcart/net/pool.py
+++ b/saltcart/net/pool.py
@@ -121,7 +121,7 @@
 
         The old connection is still read until it has confirmed the commands that must not be sent twice.
         A run whose start is unconfirmed when its connection ends would fail, and one whose reply is
-        unconfirmed might have to go on without its call.
+        unconfirmed might have to continue without its call.
         """
         if parse_address(peer) == self.peer and self.next_address is None:
             return
--- /dev/null
+++ b/saltcart/takeover/successor.py
@@ -0,0 +1,131 @@
+"""The predecessor's side of a takeover: what it sends to the process to which it hands over."""
+
+from __future__ import annotations
+
+import asyncio
+
+from saltcart.core.idempotency_keys import KeyRecord
+from saltcart.core.ports import Log
+from saltcart.core.service import Service
+from saltcart.decision.events import PredecessorLoad
+from saltcart.front.connection import FrontConnection
+from saltcart.net.handover import HandoverLink
+from saltcart.net.listener import Listener, ServerConnection
+from saltcart.takeover.timing import POLL_INTERVAL_SECONDS
+from saltcart.wire import handover as wire
+from saltcart.wire.handover import HandoverPacket, PacketKind
+
+# Delay after a full batch of connections, whose descriptors are closed some turns of the event loop later.
+BATCH_DELAY_SECONDS = 0.002
+MAX_BATCH_CONNECTIONS = 16  # passed in one turn of the event loop
+
+
+class Successor:
+    """The process to which this process, the owner of ``service`` and ``fronts``, hands over."""
+
+    def __init__(self, service: Service, log: Log, fronts: dict[str, Listener]) -> None:
+        self.service = service
+        self.log = log
+        self.fronts = fronts
+        # Set while a successor serves, even if the link to it was lost.
+        self.link: HandoverLink | None = None
+        # The load and the number of client connections.
+        self.last_sent_load: tuple[PredecessorLoad, int] | None = None
+        self.next_batch_timer: asyncio.TimerHandle | None = None
+
+    def hand_over(self, link: HandoverLink) -> None:
+        """Send all keys, stop accepting connections and start to pass the open ones."""
+        self.link = link
+        self.last_sent_load = None
+        for record in self.service.lifecycle.attempts.hand_over(self._send_key):
+            self._send_key(record, False)
+        self._send_load()
+        link.send(HandoverPacket(PacketKind.HANDED_OVER, {}))
+        for listener in self.fronts.values():
+            listener.stop_accepting()
+            listener.pass_connection = self._pass_connection
+        self.log("handed-over", open=len(self.service.requests), keys=len(self.service.keys))
+        self._pass_connections()
+
+    def _send_key(self, record: KeyRecord, is_free: bool) -> None:
+        if self.link is not None:
+            self.link.send(wire.key_packet(record, is_free, self.service.clock.seconds_ahead()))
+
+    def _send_load(self) -> None:
+        """Report this process's load, if it changed, while both processes share the cores and the memory."""
+        connection_count = sum(len(listener.connections) for listener in self.fronts.values())
+        load = self.service.load(), connection_count
+        if self.link is not None and load != self.last_sent_load:
+            self.last_sent_load = load
+            self.link.send(wire.load_packet(*load))
+
+    def _pass_connection(self, connection: ServerConnection, buffered_bytes: bytes) -> bool:
+        """Pass a connection to the successor and close it here; return False if it can't be passed now."""
+        if self.link is None or connection.transport is None:
+            return False
+        listener = connection.listener
+        state = wire.PassedConnection(
+            front=next(name for name, front in self.fronts.items() if front is listener),
+            was_idle=connection in listener.idle,
+            state_age=asyncio.get_running_loop().time() - connection.state_since,
+            buffered_bytes=buffered_bytes,
+        )
+        descriptor = connection.transport.get_extra_info("socket").fileno()
+        if not self.link.send_descriptor(wire.connection_packet(state), descriptor):
+            return False
+        connection.abort()
+        return True
+
+    def _pass_connections(self) -> None:
+        passed_count = MAX_BATCH_CONNECTIONS  # an error with one connection must not stop the others
+        try:
+            self._send_load()
+            passed_count = self._pass_batch()
+        finally:
+            delay = BATCH_DELAY_SECONDS if passed_count == MAX_BATCH_CONNECTIONS else POLL_INTERVAL_SECONDS
+            self.next_batch_timer = asyncio.get_running_loop().call_later(delay, self._pass_connections)
+
+    def _pass_batch(self) -> int:
+        passed_count = 0
+        for listener in self.fronts.values():
+            for connection in listener.connections_by_age():
+                if isinstance(connection, FrontConnection) and passed_count < MAX_BATCH_CONNECTIONS:
+                    passed_count += connection.hand_over()
+        return passed_count
+
+    def end_connections(self) -> None:
+        """End the remaining connections, because the link to the successor, which still serves, was lost.
+
+        This process starts no runs, but it has to answer requests that arrive on these connections.
+        """
+        self._continue_connections(ends_connections=True)
+
+    def cancel_hand_over(self) -> None:
+        """Serve the remaining connections again, because the successor is gone."""
+        self.link = None
+        self.service.lifecycle.attempts.cancel_hand_over()
+        self._continue_connections(ends_connections=False)
+
+    def _continue_connections(self, *, ends_connections: bool) -> None:
+        self.stop_passing()
+        for listener in self.fronts.values():
+            listener.pass_connection = None
+            listener.ends_connections = ends_connections
+            for connection in list(listener.connections):
+                if isinstance(connection, FrontConnection):
+                    connection.continue_reading()
+
+    def stop_passing(self) -> None:
+        """Pass no more connections to the successor."""
+        if self.next_batch_timer is not None:
+            self.next_batch_timer.cancel()
+
+    def has_unsent_packets(self) -> bool:
+        """Return whether packets still wait to be sent to the successor."""
+        return self.link is not None and bool(self.link.unsent_packets)
+
+    def close(self) -> None:
+        """Close the link and pass no more connections, because this process ends."""
+        if self.link is not None:
+            self.link.close()
+        self.stop_passing()
--- a/saltcart/wire/pool.py
+++ b/saltcart/wire/pool.py
@@ -279,6 +279,6 @@
                 yield UncertainReply(command.request_id, command.notice_number)
 
     def _is_about_earlier_call(self, command: Command) -> bool:
-        """Return whether the run waits at a later call than the one that the command is about."""
+        """Return whether the run waits at a later call than that of the command."""
         later_notice = self.call_notices.get(command.request_id, command.notice_number)
         return command.notice_number > 0 and later_notice != command.notice_number
--- a/tests/test_faulty_peers.py
+++ b/tests/test_faulty_peers.py
@@ -396,7 +396,7 @@
             await until(lambda: b"bind 1" in pool.received_lines and session.is_ready)
             await until(lambda: not session.unconfirmed)
             assert supplied_count() == 1
-            # A run that may go on without its call is told so under the number of that call alone.
+            # A run that can continue without its call does so by the number of that call's notice.
             assert (b"pass %b 1" % request_id in pool.received_lines) is (class_name == "read")
             pool.send_notice(b"blocked " + request_id, b"call 2")
             await until(lambda: pool.bodies[request_id] == b"call 2")
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -15,12 +15,12 @@
 
 import pytest
 
-from saltcart import takeover
 from saltcart.core.idempotency_keys import KeyRecord
 from saltcart.decision.events import PredecessorLoad
 from saltcart.decision.outcome import Outcome
 from saltcart.deployment import AjpSettings, Deployment
 from saltcart.net.listener import Listener, ServerConnection
+from saltcart.takeover import hot_restart
 from saltcart.wire import handover as wire
 from saltcart.wire.errors import MalformedMessageError
 from tests.fakes import ServiceHarness
@@ -317,7 +317,7 @@
     platform: dict[str, str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A release may stop both at once; requests queued at the listening socket must still be answered."""
-    monkeypatch.setattr(takeover, "MIN_RETIRE_SECONDS", 10.0)
+    monkeypatch.setattr(hot_restart, "MIN_RETIRE_SECONDS", 10.0)
     address = prepare_platform(platform)
 
     async def scenario() -> None:
--- a/tests/test_termination.py
+++ b/tests/test_termination.py
@@ -393,7 +393,7 @@
 def test_keys_are_uncertain_if_the_predecessor_does_not_hand_them_over(
     fault: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("saltcart.takeover.HANDOVER_TIMEOUT_SECONDS", 0.2)
+    monkeypatch.setattr("saltcart.takeover.predecessor.HANDOVER_TIMEOUT_SECONDS", 0.2)
 
     async def scenario() -> None:
         predecessor_socket = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
