Membership: one sequence of pings to a suspect, however often it is accused

After its own probe has failed a member pings the suspect each probe_wait until the suspicion ends. SuspicionTracker.accuse began such a sequence with each failed probe, and the rotation keeps probing suspects, so the sequences added up: five accusations gave five pings each probe_wait.

Only the first failed probe of a suspicion begins it now. The pings to a suspect in an interval are bounded whatever the view says.

The new test fails before the change (5 pings in place of 1). The model's tests, among them false deaths under packet loss, pass.

--- a/saltcart/membership/suspicion_tracker.py
+++ b/saltcart/membership/suspicion_tracker.py
@@ -20,7 +20,8 @@
     """Tracks suspicions and declares suspects dead.
 
     A member declares only those dead that it has failed to reach itself.  After its own probe has failed, it
-    keeps pinging the suspect until the suspicion ends.
+    keeps pinging the suspect until the suspicion ends.  Each suspicion has one timer that moves forward in
+    time and one sequence of pings, so that the number of probes in an interval is bounded whatever the view.
     """
 
     def __init__(
@@ -54,13 +55,14 @@
         suspicion = self.suspicions.get(target.name)
         if suspicion is None:
             return
-        if not suspicion.own_probe_failed:
+        is_first = not suspicion.own_probe_failed
+        if is_first:
             suspicion.own_probe_failed = True  # ends the extra time given until an own probe has failed
             self._set_timer(target.name, suspicion)
         self.confirm(report)
         if suspicion.ends_at() <= self.context.now:
             self._declare_dead(target.name)
-        else:
+        elif is_first:
             self._keep_probing(target.name, suspicion)
 
     def start(self, report: MemberRecord) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -188,6 +188,20 @@
     assert len(intervals) > 50 and min(intervals[1:]) >= 0.8 * SETTINGS.probe_every
 
 
+def test_a_suspect_is_pinged_in_one_sequence_however_often_it_is_accused() -> None:
+    # Guards against one more sequence of pings, until the suspicion ends, with each probe that fails.
+    member = Member(SETTINGS, "a", "127.0.0.1:1", random.Random(1), 0.0, 1)
+    member.context.timers.heap.clear()  # no pings but those of the suspicion
+    suspect = MemberRecord("b", "127.0.0.1:2", 1)
+    member.view.merge(suspect, 0.0)
+    for _ in range(5):
+        member.suspicion_tracker.accuse(suspect)
+    member.take_outgoing()
+    member.tick(SETTINGS.probe_wait)
+    pings = [d for _, d in member.take_outgoing() if isinstance(d.message, messages.Ping)]
+    assert len(pings) == 1
+
+
 def test_the_local_health_score_is_bounded() -> None:
     health = LocalHealth()
     health.adjust(-3)
