Takeover: after two upgrades in a row the oldest process does not serve again

Version 1 took the end of its one successor for the end of all later ones, opened the clients' socket again and served beside version 3.

A process that has handed over now ends after its own predecessor, whose reports it passes on. One whose successor has ended looks at the handover socket for the process that serves now and watches that one; it serves again only where nobody listens. A process whose predecessor ends before it has handed over looks again, as an older one may serve by then. So that no two processes miss each other, one that serves again listens there before it opens its fronts, and a takeover that is requested before the fronts are open waits for them. The end of a link counts as a loss only 0.25 s later, since a process that ends closes its links before it has exited.

The tests' platform and long deadlines have moved to the stand-ins.

--- a/saltcart/net/handover.py
+++ b/saltcart/net/handover.py
@@ -22,6 +22,7 @@
 SEND_BUFFER_BYTES = 256 * 1024
 MAX_DESCRIPTORS = 4  # file descriptors read with a packet, which should carry at most one
 BACKLOG_CONNECTIONS = 4
+PEER_EXIT_GRACE_SECONDS = 0.25  # a process that ends closes its links before it has exited
 
 
 class HandoverLink:
@@ -40,12 +41,13 @@
         self.on_packet: Callable[[HandoverPacket, int | None], None] = lambda packet, descriptor: None
         # Called with the error that tells why a packet could not be decoded.
         self.on_undecodable: Callable[[MalformedMessageError], None] = lambda error: None
-        # Called after the link was lost if the peer still runs.
+        # Called some time after the link was lost if the peer still runs.
         self.on_link_lost: Callable[[], None] = lambda: None
         # Called once the link was lost and the peer has ended, or can't be watched.
         self.on_peer_ended: Callable[[], None] = lambda: None
         self.is_open = True
         self.peer = PeerProcess.find(link_socket)
+        self.grace_timer: asyncio.TimerHandle | None = None
         link_socket.setblocking(False)
         link_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
@@ -89,6 +91,7 @@
         """Close the link and report nothing more.  Unsent packets are lost."""
         self.on_link_lost = self.on_peer_ended = lambda: None
         self._close_socket()
+        self._cancel_grace_timer()
         if self.peer is not None:
             self.peer.close()
 
@@ -109,12 +112,18 @@
     def _report_loss(self) -> None:
         if self.peer is None:
             self.on_peer_ended()
-        elif self.peer.has_ended():
-            self.peer.close()
-            self.on_peer_ended()
-        else:
-            self.on_link_lost()
-            self.peer.call_at_end(self.on_peer_ended)
+            return
+        self.grace_timer = self.loop.call_later(PEER_EXIT_GRACE_SECONDS, self.on_link_lost)
+        self.peer.call_at_end(self._report_peer_end)
+
+    def _report_peer_end(self) -> None:
+        self._cancel_grace_timer()
+        self.on_peer_ended()
+
+    def _cancel_grace_timer(self) -> None:
+        if self.grace_timer is not None:
+            self.grace_timer.cancel()
+            self.grace_timer = None
 
     def _write(self) -> None:
         while self.is_open and self.unsent_packets:
--- a/saltcart/net/peer_process.py
+++ b/saltcart/net/peer_process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import select
 import socket
 import struct
 from collections.abc import Callable
@@ -41,14 +40,6 @@
         except OSError:
             return None
 
-    def has_ended(self) -> bool:
-        """Return whether the process has ended."""
-        if self.descriptor is None:
-            return False
-        poller = select.poll()
-        poller.register(self.descriptor, select.POLLIN)
-        return bool(poller.poll(0))
-
     def call_at_end(self, callback: Callable[[], None]) -> None:
         """Call a function once the process has ended, unless ``close`` is called before."""
         if self.descriptor is None:
--- a/saltcart/takeover/hot_restart.py
+++ b/saltcart/takeover/hot_restart.py
@@ -24,6 +24,9 @@
 # min(longest deadline, MAX_DEADLINE_WAIT_SECONDS) + KILL_MARGIN_SECONDS.
 MAX_DEADLINE_WAIT_SECONDS = 3.0
 KILL_MARGIN_SECONDS = 0.7
+# A process that has just taken over from an ended successor may not listen at the handover socket yet.
+REPLACEMENT_TIMEOUT_SECONDS = 0.1
+MAX_TAKEOVER_ATTEMPTS = 3  # each from a process that ends before it has handed over
 
 
 class Takeover:
@@ -54,21 +57,39 @@
         self.handover_listener = HandoverListener(folder, f"saltcart-{name}", self._on_connected)
         self.predecessor = Predecessor(service, log, fronts, index)
         self.successor = Successor(service, log, fronts)
+        self.is_serving = False  # the fronts are open, and no successor has taken over
+        self.waiting_link: HandoverLink | None = None  # to a process that requested the takeover before that
         self.retired_at: float | None = None  # time of the drain notice, if it came after the handover
         self.seconds_to_stop = 0.0  # from ``retired_at`` until this process is killed
         self.is_closed = False
-        self.reopen_task: asyncio.Task[None] | None = None
+        self.accepted_links = set[HandoverLink]()  # of processes that may take over or watch this one
+        self.recovery_task: asyncio.Task[None] | None = None  # runs after a successor has ended
 
     async def start_serving(self) -> None:
-        """Take over from the predecessor if there is one, then open the fronts."""
+        """Take over from the predecessor if there is one, then open the fronts.
+
+        If the predecessor ends before it has handed over, its own predecessor may serve again.
+        """
         pool_is_up = asyncio.Event()
         self.service.on_started = pool_is_up.set
-        link = self.handover_listener.connect()
-        if link is not None:
+        for _ in range(MAX_TAKEOVER_ATTEMPTS):
+            link = self.handover_listener.connect()
+            if link is None:
+                break
             await self.predecessor.take_over(link, pool_is_up)
+            if self.predecessor.has_handed_over or self.predecessor.link is not None:
+                break
         self._listen_for_successor()
         await self.open_fronts()
         self.predecessor.set_connection_count(self.predecessor.connection_count)
+        self._start_serving()
+
+    def _start_serving(self) -> None:
+        """Permit takeovers from now on, as there is nothing to stop before the fronts are open."""
+        self.is_serving = True
+        link, self.waiting_link = self.waiting_link, None
+        if link is not None and link.is_open:
+            self._hand_over(link)
 
     def _listen_for_successor(self) -> None:
         try:
@@ -82,6 +103,11 @@
             return
         link.on_packet = lambda packet, descriptor: self._on_packet(link, packet, descriptor)
         link.on_undecodable = lambda error: self.log("handover-malformed", kind=None, error=str(error))
+        self.accepted_links = {known for known in self.accepted_links if known.is_open}
+        self.accepted_links.add(link)
+        self._watch_successor(link)
+
+    def _watch_successor(self, link: HandoverLink) -> None:
         link.on_link_lost = lambda: self._on_successor_link_lost(link)
         link.on_peer_ended = lambda: self._on_successor_ended(link)
         link.start()
@@ -95,7 +121,13 @@
             return
         if self.successor.link is not None:  # another process has taken over meanwhile
             link.close()
-            return
+        elif self.is_serving:
+            self._hand_over(link)
+        else:
+            self.waiting_link = link
+
+    def _hand_over(self, link: HandoverLink) -> None:
+        self.is_serving = False
         self.handover_listener.close()
         if self.announcer is not None:
             self.announcer.close()  # the successor's reports now keep the entry in the endpoint list
@@ -110,24 +142,44 @@
         self.successor.end_connections()
 
     def _on_successor_ended(self, link: HandoverLink) -> None:
-        """Continue to serve without a successor, or drain if the drain notice has been received."""
+        """Serve again, unless another process has taken over from the successor."""
         if self.successor.link is not link or self.is_closed:
             return
-        self.successor.cancel_hand_over()
         self.service.mark_keys_uncertain()  # the successor reported no runs of its own
+        self.recovery_task = asyncio.get_running_loop().create_task(self._replace_successor())
+
+    async def _replace_successor(self) -> None:
+        link = await self._find_serving_process()
+        if link is None:
+            await self._serve_again()
+            return
+        self.log("takeover-replaced")
+        self.successor.link = link
+        self.successor.end_connections()
+        self._watch_successor(link)
+
+    async def _find_serving_process(self) -> HandoverLink | None:
+        """Return a link to the process that listens for a successor, or None if there is none."""
+        loop = asyncio.get_running_loop()
+        latest_end = loop.time() + REPLACEMENT_TIMEOUT_SECONDS
+        while (link := self.handover_listener.connect()) is None and loop.time() < latest_end:
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        return link
+
+    async def _serve_again(self) -> None:
+        """Continue to serve without a successor, or drain if the drain notice has been received."""
+        self.successor.cancel_hand_over()
         self.log("takeover-reverted", stopping=self.retired_at is not None)
         if self.retired_at is not None:
             notice_age = self.service.clock.read_seconds() - self.retired_at
             self.retired_at = None
             self.service.start_drain(max(0.0, self.seconds_to_stop - notice_age), notice_age)
-        self.reopen_task = asyncio.get_running_loop().create_task(self._reopen())
-
-    async def _reopen(self) -> None:
+        self._listen_for_successor()  # first: a process that finds nobody there would open its own fronts
         for listener in self.fronts.values():
             await self._reopen_front(listener)
-        self._listen_for_successor()
         if self.announcer is not None:
             self.announcer.resume()
+        self._start_serving()
 
     async def _reopen_front(self, listener: Listener) -> None:
         while not self.is_closed:
@@ -169,9 +221,11 @@
             return
         loop = asyncio.get_running_loop()
         has_connections = any(listener.connections for listener in self.fronts.values())
-        is_busy = has_connections or self.service.requests or self.successor.has_unsent_packets()
+        # The predecessor reports its runs to this process alone, which reports them to the successor.
+        has_predecessor = self.predecessor.link is not None
+        has_work = has_connections or self.service.requests or self.successor.has_unsent_packets()
         is_early = self.service.clock.read_seconds() < self.retired_at + MIN_RETIRE_SECONDS
-        if (is_busy or is_early) and loop.time() < latest_end:
+        if (has_work or has_predecessor or is_early) and loop.time() < latest_end:
             loop.call_later(POLL_INTERVAL_SECONDS, self._finish_when_idle, on_finished, latest_end)
         else:
             on_finished()
@@ -182,5 +236,7 @@
         self.handover_listener.close()
         self.predecessor.close()
         self.successor.close()
-        if self.reopen_task is not None:
-            self.reopen_task.cancel()
+        for link in self.accepted_links:
+            link.close()
+        if self.recovery_task is not None:
+            self.recovery_task.cancel()
--- a/saltcart/takeover/predecessor.py
+++ b/saltcart/takeover/predecessor.py
@@ -48,6 +48,7 @@
         cases, new keys fail for as long as they may have run in the predecessor.
         """
         self.link = link
+        self.handover_ended.clear()
         link.on_packet = self._on_packet
         link.on_undecodable = lambda error: self._on_malformed(None, error)
         link.on_link_lost = self._on_link_lost
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any, Self
 
 from saltcart.app import App
@@ -52,6 +53,18 @@
 }
 
 
+# With these settings, requests do not time out on a slow machine.
+LONG_DEADLINES: dict[str, Any] = {
+    "settings": {
+        **SETTINGS,
+        "services": [
+            {**spec, "onTime": 60.0, "deadline": 120.0, "memorySpan": 60.0} for spec in SETTINGS["services"]
+        ],
+    },
+    "stop_ms": 20_000,
+}
+
+
 def raw_config(**config_fields: Any) -> dict[str, Any]:
     """Return a configuration as it is read from JSON, with the given fields added or replaced."""
     return {
@@ -171,6 +184,37 @@
         self.send_notice(b"finished %b %b 20" % (request_id, outcome), result)
 
 
+class EventLog:
+    """Records the events that an application logs."""
+
+    def __init__(self) -> None:
+        self.lines: list[dict[str, Any]] = []
+
+    def __call__(self, event: str, **fields: Any) -> None:
+        self.lines.append({"event": event, **fields})
+
+    def find(self, event: str) -> list[dict[str, Any]]:
+        """Return the lines of one event."""
+        return [line for line in self.lines if line["event"] == event]
+
+
+class Platform:
+    """The clients' listening socket and the folder that all processes of an instance share.
+
+    Args:
+        listening_socket: The socket, which the caller owns.
+        folder: The folder.
+    """
+
+    def __init__(self, listening_socket: socket.socket, folder: Path) -> None:
+        self.folder = folder
+        self.address = "{}:{}".format(*listening_socket.getsockname())
+        self.environment = {
+            "BALANCER_LISTEN_FD": str(listening_socket.fileno()),
+            "TMPDIR": str(folder),
+        }
+
+
 @asynccontextmanager
 async def running(
     deployment: Deployment | None = None,
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
 import pytest
 
@@ -25,7 +24,7 @@
 from saltcart.wire.errors import MalformedMessageError
 from tests.fakes import ServiceHarness
 from tests.standins import (
-    SETTINGS,
+    LONG_DEADLINES,
     AjpClient,
     HttpClient,
     Pool,
@@ -174,18 +173,6 @@
         return "{}:{}".format(*listening_socket.getsockname())
 
 
-# With these settings, requests do not time out on a slow machine.
-LONG_DEADLINES: dict[str, Any] = {
-    "settings": {
-        **SETTINGS,
-        "services": [
-            {**spec, "onTime": 60.0, "deadline": 120.0, "memorySpan": 60.0} for spec in SETTINGS["services"]
-        ],
-    },
-    "stop_ms": 20_000,
-}
-
-
 def test_connections_and_keys_move_to_the_successor(platform: dict[str, str]) -> None:
     address = prepare_platform(platform)
 
--- /dev/null
+++ b/tests/test_takeover_chain.py
@@ -0,0 +1,162 @@
+"""Several upgrades in a row: three processes of which one serves, whichever of the others ends.
+
+All processes run in the process of the test.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+
+import pytest
+
+from saltcart.app import App
+from saltcart.config import read_config
+from saltcart.deployment import Deployment
+from saltcart.net.listener import Listener
+from saltcart.takeover.hot_restart import MIN_RETIRE_SECONDS
+from saltcart.wire import handover as wire
+from tests.standins import (
+    LONG_DEADLINES,
+    EventLog,
+    HttpClient,
+    Platform,
+    Pool,
+    encode_id,
+    raw_config,
+    running,
+    until,
+)
+
+
+def is_accepting(app: App) -> bool:
+    return "http" in app.fronts and app.fronts["http"].server is not None
+
+
+def count_accepting(*apps: App) -> int:
+    return sum(is_accepting(app) for app in apps)
+
+
+def test_a_process_ends_only_after_the_process_from_which_it_took_over(shared_platform: Platform) -> None:
+    # Guards against the oldest of three processes that serves again when the middle one ends before it.
+    async def scenario() -> None:
+        environment = shared_platform.environment
+        async with (
+            Pool(finishes_runs=False) as first_pool,
+            Pool() as later_pool,
+            running(None, environment, pool=first_pool.address, **LONG_DEADLINES) as first,
+        ):
+            client = await HttpClient(shared_platform.address).open()
+            client.send(1, budget_ms="60000")
+            await until(lambda: len(first_pool.spawned) == 1)
+            first_ended, second_ended = asyncio.Event(), asyncio.Event()
+            async with (
+                running(None, environment, pool=later_pool.address, **LONG_DEADLINES) as second,
+                running(None, environment, pool=later_pool.address) as third,
+            ):
+                first.begin_drain(first_ended.set)
+                second.begin_drain(second_ended.set)
+                with pytest.raises(TimeoutError):
+                    await asyncio.wait_for(second_ended.wait(), 2 * MIN_RETIRE_SECONDS)  # it has no work
+                first_pool.finish(encode_id(1))
+                assert (await client.read_response()).status == 200
+                await asyncio.wait_for(first_ended.wait(), 20)
+                assert not second_ended.is_set()
+                await first.close()
+                await asyncio.wait_for(second_ended.wait(), 20)
+                assert count_accepting(first, second, third) == 1 and is_accepting(third)
+
+    asyncio.run(scenario())
+
+
+def test_the_oldest_process_serves_again_only_if_no_later_one_does(shared_platform: Platform) -> None:
+    # Guards against two processes that serve after the middle one of three has died.
+    async def scenario() -> None:
+        log, environment = EventLog(), shared_platform.environment
+        async with (
+            Pool() as first_pool,
+            Pool() as later_pool,
+            running(None, environment, log, pool=first_pool.address) as first,
+        ):
+            async with (
+                running(None, environment, pool=later_pool.address) as second,
+                running(None, environment, pool=later_pool.address) as third,
+            ):
+                await second.close()  # it dies
+                await until(lambda: bool(log.find("takeover-replaced")))
+                assert count_accepting(first, third) == 1 and is_accepting(third)
+                client = await HttpClient(shared_platform.address).open()
+                assert (await client.post(1)).status == 200 and later_pool.spawned == [encode_id(1)]
+            await until(lambda: is_accepting(first))
+            client = await HttpClient(shared_platform.address).open()
+            assert (await client.post(2)).status == 200 and first_pool.spawned == [encode_id(2)]
+
+    asyncio.run(scenario())
+
+
+def test_a_successor_whose_predecessor_dies_takes_over_from_the_process_before_it(
+    shared_platform: Platform,
+) -> None:
+    # Guards against two processes that serve: an older one, and one that started when its predecessor died.
+    async def scenario() -> None:
+        log, environment = EventLog(), shared_platform.environment
+        async with (
+            Pool() as first_pool,
+            Pool() as later_pool,
+            Pool() as slow_pool,
+            running(None, environment, log, pool=first_pool.address) as first,
+        ):
+            async with running(None, environment, pool=later_pool.address):
+                slow_pool.reported_state = b""  # the link to this pool is not bound yet
+                third = App(read_config(raw_config(pool=slow_pool.address), environment), Deployment(), log)
+                await third.start()
+                assert third.takeover is not None
+                predecessor = third.takeover.predecessor
+                await until(lambda: predecessor.link is not None)
+            await until(lambda: is_accepting(first))  # after the second one has died
+            slow_pool.reported_state = b"LOADED 60000"
+            try:
+                await until(third.is_ready)
+                assert count_accepting(first, third) == 1 and is_accepting(third)
+                client = await HttpClient(shared_platform.address).open()
+                assert (await client.post(1)).status == 200 and slow_pool.spawned == [encode_id(1)]
+            finally:
+                await third.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_takeover_that_is_requested_before_the_fronts_are_open_waits_for_them(
+    shared_platform: Platform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against two processes that serve: the fronts were opened after this process had handed over.
+    open_listener = Listener.open
+
+    async def scenario() -> None:
+        may_open = asyncio.Event()
+
+        async def open_later(listener: Listener) -> str:
+            await may_open.wait()
+            return await open_listener(listener)
+
+        monkeypatch.setattr(Listener, "open", open_later)
+        log = EventLog()
+        async with Pool() as pool:
+            conf = read_config(raw_config(pool=pool.address), shared_platform.environment)
+            app = App(conf, Deployment(), log)
+            await app.start()
+            try:
+                await until(lambda: os.path.exists(shared_platform.folder / "saltcart-n1"))
+                with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as link:
+                    link.connect(str(shared_platform.folder / "saltcart-n1"))
+                    link.send(wire.encode(wire.HandoverPacket("take", {})))
+                    await until(lambda: app.takeover is not None and app.takeover.waiting_link is not None)
+                    assert not log.find("handed-over")
+                    may_open.set()
+                    await until(lambda: bool(log.find("handed-over")))
+                    assert not is_accepting(app)
+            finally:
+                await app.close()
+
+    asyncio.run(scenario())
--- a/tests/test_takeover_links.py
+++ b/tests/test_takeover_links.py
@@ -5,10 +5,9 @@
 import asyncio
 import socket
 import sys
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
 
 import pytest
 
@@ -19,7 +18,7 @@
 from saltcart.deployment import Deployment
 from saltcart.wire import handover as wire
 from saltcart.wire.handover import HandoverPacket, PacketKind
-from tests.standins import HttpClient, Pool, raw_config, running, until
+from tests.standins import EventLog, HttpClient, Platform, Pool, raw_config, running, until
 
 TAKE = wire.encode(HandoverPacket(PacketKind.TAKE, {}))
 HANDED_OVER = wire.encode(HandoverPacket(PacketKind.HANDED_OVER, {}))
@@ -29,37 +28,6 @@
 ROOT = Path(__file__).parents[1]
 
 
-class EventLog:
-    """Records the events that an application logs."""
-
-    def __init__(self) -> None:
-        self.lines: list[dict[str, Any]] = []
-
-    def __call__(self, event: str, **fields: Any) -> None:
-        self.lines.append({"event": event, **fields})
-
-    def find(self, event: str) -> list[dict[str, Any]]:
-        return [line for line in self.lines if line["event"] == event]
-
-
-class Platform:
-    """The clients' listening socket and the folder that both processes share."""
-
-    def __init__(self, listening_socket: socket.socket, folder: Path) -> None:
-        self.folder = folder
-        self.address = "{}:{}".format(*listening_socket.getsockname())
-        self.environment = {
-            "BALANCER_LISTEN_FD": str(listening_socket.fileno()),
-            "TMPDIR": str(folder),
-        }
-
-
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[Platform]:
-    with socket.create_server(("127.0.0.1", 0)) as listening_socket:
-        yield Platform(listening_socket, tmp_path)
-
-
 async def connect(path: Path) -> socket.socket:
     link = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     link.setblocking(False)
@@ -90,15 +58,15 @@
 
 @asynccontextmanager
 async def taking_over(
-    platform: Platform, pool: Pool, log: EventLog
+    shared_platform: Platform, pool: Pool, log: EventLog
 ) -> AsyncIterator[tuple[App, socket.socket]]:
     """Start an application that takes over from a stand-in, and yield the stand-in's end of the link."""
     loop = asyncio.get_running_loop()
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listening_socket:
-        listening_socket.bind(str(platform.folder / SOCKET_NAME))
+        listening_socket.bind(str(shared_platform.folder / SOCKET_NAME))
         listening_socket.listen(1)
         listening_socket.setblocking(False)
-        conf = read_config(raw_config(pool=pool.address), platform.environment)
+        conf = read_config(raw_config(pool=pool.address), shared_platform.environment)
         app = App(conf, Deployment(), log)
         await app.start()
         link, _ = await loop.sock_accept(listening_socket)
@@ -120,12 +88,12 @@
     ],
 )
 def test_a_malformed_packet_of_the_predecessor_is_logged_and_the_link_stays_open(
-    packet: HandoverPacket, reason: str, platform: Platform
+    packet: HandoverPacket, reason: str, shared_platform: Platform
 ) -> None:
     # Guards against two processes that serve: each took the closed link for the end of the other.
     async def scenario() -> None:
         log = EventLog()
-        async with Pool() as pool, taking_over(platform, pool, log) as (app, link):
+        async with Pool() as pool, taking_over(shared_platform, pool, log) as (app, link):
             link.send(wire.encode(packet))
             link.send(HANDED_OVER)
             await until(app.is_ready)
@@ -140,16 +108,18 @@
 @pytest.mark.parametrize(
     "raw", [b"\xff", TAKE[:9], b'{"v":9,"say":"entry"}\n', b"x" * (wire.MAX_PACKET_BYTES + 1)]
 )
-def test_new_keys_fail_after_a_packet_that_may_have_reported_one(raw: bytes, platform: Platform) -> None:
+def test_new_keys_fail_after_a_packet_that_may_have_reported_one(
+    raw: bytes, shared_platform: Platform
+) -> None:
     # Guards against a second run of a key whose report could not be read.
     async def scenario() -> None:
         log = EventLog()
-        async with Pool() as pool, taking_over(platform, pool, log) as (app, link):
+        async with Pool() as pool, taking_over(shared_platform, pool, log) as (app, link):
             link.send(raw)
             link.send(HANDED_OVER)
             await until(app.is_ready)
             assert len(log.find("handover-malformed")) == 1
-            client = await HttpClient(platform.address).open()
+            client = await HttpClient(shared_platform.address).open()
             assert (await client.post(1, "oddaja", key="k")).status == 500
             assert (await client.post(2)).status == 200 and len(pool.spawned) == 1
 
@@ -158,13 +128,16 @@
 
 @pytest.mark.parametrize("raw", [b"\xff", TAKE, TAKE[:9], b'{"v":1,"say":"later"}\n', HANDED_OVER])
 def test_a_predecessor_does_not_serve_again_after_a_bad_packet_of_its_successor(
-    raw: bytes, platform: Platform
+    raw: bytes, shared_platform: Platform
 ) -> None:
     # Guards against two processes that serve after a packet that the predecessor does not know.
     async def scenario() -> None:
         log = EventLog()
-        async with Pool() as pool, running(None, platform.environment, log, pool=pool.address) as predecessor:
-            link = await connect(platform.folder / SOCKET_NAME)
+        async with (
+            Pool() as pool,
+            running(None, shared_platform.environment, log, pool=pool.address) as predecessor,
+        ):
+            link = await connect(shared_platform.folder / SOCKET_NAME)
             link.send(TAKE)
             await until(lambda: bool(log.find("handed-over")))
             link.send(raw)
@@ -175,37 +148,37 @@
     asyncio.run(scenario())
 
 
-def test_a_predecessor_serves_again_only_once_its_successor_has_ended(platform: Platform) -> None:
+def test_a_predecessor_serves_again_only_once_its_successor_has_ended(shared_platform: Platform) -> None:
     # Guards against two processes that serve: a closed link was taken for the end of the successor.
     async def scenario() -> None:
         log = EventLog()
         async with (
             Pool() as pool,
-            running(None, platform.environment, log, pool=pool.address) as predecessor,
-            peer_process("successor", str(platform.folder / SOCKET_NAME)) as successor,
+            running(None, shared_platform.environment, log, pool=pool.address) as predecessor,
+            peer_process("successor", str(shared_platform.folder / SOCKET_NAME)) as successor,
         ):
             await wait_for_line(successor, b"closed\n")
             await until(lambda: bool(log.find("takeover-link-lost")))
             assert predecessor.fronts["http"].server is None and not log.find("takeover-reverted")
             successor.kill()
             await until(lambda: bool(log.find("takeover-reverted")))
-            assert (await (await HttpClient(platform.address).open()).post(1)).status == 200
+            assert (await (await HttpClient(shared_platform.address).open()).post(1)).status == 200
 
     asyncio.run(scenario())
 
 
-def test_connections_that_cannot_be_passed_end_with_the_next_response(platform: Platform) -> None:
+def test_connections_that_cannot_be_passed_end_with_the_next_response(shared_platform: Platform) -> None:
     # Guards against a client that stays at the old process, which paused reading until it could pass it on.
     async def scenario() -> None:
         log = EventLog()
         async with (
             Pool(finishes_runs=False) as pool,
-            running(None, platform.environment, log, pool=pool.address) as predecessor,
+            running(None, shared_platform.environment, log, pool=pool.address) as predecessor,
         ):
-            busy = await HttpClient(platform.address).open()
+            busy = await HttpClient(shared_platform.address).open()
             busy.send(1)
             await until(lambda: len(pool.spawned) == 1)
-            async with peer_process("successor", str(platform.folder / SOCKET_NAME)) as successor:
+            async with peer_process("successor", str(shared_platform.folder / SOCKET_NAME)) as successor:
                 await wait_for_line(successor, b"closed\n")
                 await until(lambda: bool(log.find("takeover-link-lost")))
                 pool.finish(pool.spawned[0])
@@ -216,16 +189,16 @@
     asyncio.run(scenario())
 
 
-def test_a_living_predecessor_counts_on_the_cores_after_its_link_is_lost(platform: Platform) -> None:
+def test_a_living_predecessor_counts_on_the_cores_after_its_link_is_lost(shared_platform: Platform) -> None:
     # Guards against crowded cores: a closed link was taken for the end of the predecessor and its runs.
     async def scenario() -> None:
         log = EventLog()
         load = wire.encode(wire.load_packet(PredecessorLoad(running=2), 3)).decode()
-        arguments = ("predecessor", str(platform.folder / SOCKET_NAME), load, HANDED_OVER.decode())
+        arguments = ("predecessor", str(shared_platform.folder / SOCKET_NAME), load, HANDED_OVER.decode())
         async with (
             peer_process(*arguments) as predecessor,
             Pool() as pool,
-            running(None, platform.environment, log, pool=pool.address) as successor,
+            running(None, shared_platform.environment, log, pool=pool.address) as successor,
         ):
             await until(lambda: bool(log.find("takeover-link-lost")))
             controller = successor.service.controller
