Takeover: keys that a process doesn't know for certain stay uncertain in its successor

A process that has not been given all keys (its predecessor said nothing, a successor died, a packet could not be read) fails new keys for the longest window. When it was replaced itself within that time its successor took its report for complete, cleared the time, and ran such a key again.

The packet that ends the report of all keys ("yours") now carries the time until which others may have run, if there is one, as the field "uncertain" in Unix time. Releases that don't know it ignore it, and the packet is the same to the byte where all keys are known. A successor that can't read the field fails new keys for its own longest window.

Evidence: the new test of two processes fails before the change (200 in place of 500) and passes.

--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -258,6 +258,11 @@
         self.lifecycle.attempts.uncertain_until = until
         self.log("keys-uncertain", until=until)
 
+    def keys_uncertain_until(self) -> float | None:
+        """Return until when new keys may have a run in another process, or None if none has."""
+        until = self.lifecycle.attempts.uncertain_until
+        return until if until > self.clock.read() else None
+
     def predecessor_unreachable(self) -> None:
         """Fail the attempts that wait for runs in a predecessor that still runs but reports nothing more."""
         self.clock.read()
--- a/saltcart/takeover/predecessor.py
+++ b/saltcart/takeover/predecessor.py
@@ -83,9 +83,12 @@
             error: Tells what can't be read.
         """
         self.log("handover-malformed", kind=kind, error=str(error))
-        if kind in (None, PacketKind.KEY, PacketKind.FREED_KEY):
+        if kind not in (PacketKind.LOAD, PacketKind.CONNECTION):
             self.has_unread_key = True
             self.service.mark_keys_uncertain()
+        if kind == PacketKind.HANDED_OVER:
+            self.has_handed_over = True
+            self.handover_ended.set()
 
     def _apply(self, packet: HandoverPacket, descriptor: int | None) -> None:
         match packet.kind:
@@ -97,10 +100,11 @@
                 self.service.set_predecessor_load(load)
                 self.set_connection_count(connection_count)
             case PacketKind.HANDED_OVER:
+                uncertain_until = wire.read_uncertain_until(packet, self.service.clock.seconds_ahead())
                 self.has_handed_over = True
-                # Even after the timeout, all keys are known from here on.
+                # Even after the timeout, this process knows all keys that the predecessor knew.
                 if not self.has_unread_key:
-                    self.service.lifecycle.attempts.uncertain_until = 0.0
+                    self.service.lifecycle.attempts.uncertain_until = uncertain_until
                 self.handover_ended.set()
             case PacketKind.CONNECTION if descriptor is not None:
                 self.set_connection_count(max(0, self.connection_count - 1))
--- a/saltcart/takeover/successor.py
+++ b/saltcart/takeover/successor.py
@@ -13,7 +13,6 @@
 from saltcart.net.listener import Listener, ServerConnection
 from saltcart.takeover.timing import POLL_INTERVAL_SECONDS
 from saltcart.wire import handover as wire
-from saltcart.wire.handover import HandoverPacket, PacketKind
 
 # Delay after a full batch of connections, whose descriptors are closed some turns of the event loop later.
 BATCH_DELAY_SECONDS = 0.002
@@ -40,7 +39,8 @@
         for record in self.service.lifecycle.attempts.hand_over(self._send_key):
             self._send_key(record, False)
         self._send_load()
-        link.send(HandoverPacket(PacketKind.HANDED_OVER, {}))
+        seconds_ahead = self.service.clock.seconds_ahead()
+        link.send(wire.handed_over_packet(self.service.keys_uncertain_until(), seconds_ahead))
         for listener in self.fronts.values():
             listener.stop_accepting()
             listener.pass_connection = self._pass_connection
--- a/saltcart/wire/handover.py
+++ b/saltcart/wire/handover.py
@@ -146,6 +146,33 @@
     return PredecessorLoad(int(running), int(calling), memory_kb), int(connections)
 
 
+def handed_over_packet(uncertain_until: float | None, seconds_ahead: float = 0.0) -> HandoverPacket:
+    """Return the packet that ends the report of all keys.
+
+    Args:
+        uncertain_until: Time until which keys unknown to the predecessor may have run, or None if there are
+            none.  Releases that don't know the field ignore it.
+        seconds_ahead: Seconds by which the clock of that time is ahead of the Unix clock.
+    """
+    fields = {} if uncertain_until is None else {"uncertain": uncertain_until - seconds_ahead}
+    return HandoverPacket(PacketKind.HANDED_OVER, fields)
+
+
+def read_uncertain_until(packet: HandoverPacket, seconds_ahead: float = 0.0) -> float:
+    """Return until when keys that the predecessor didn't report may have run, or 0 if it knew all.
+
+    Args:
+        packet: A packet of kind ``HANDED_OVER``.
+        seconds_ahead: Seconds by which the clock of the returned time is ahead of the Unix clock.
+
+    Raises:
+        MalformedMessageError: The time is invalid.
+    """
+    if "uncertain" not in packet.fields:
+        return 0.0
+    return read_number("uncertain", packet.fields["uncertain"]) + seconds_ahead
+
+
 def connection_packet(connection: PassedConnection) -> HandoverPacket:
     """Return the packet for a connection that is passed to the successor."""
     fields = {"front": connection.front, "rests": connection.was_idle, "age": connection.state_age}
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -94,6 +94,12 @@
         )
 
 
+@pytest.mark.parametrize(("until", "expected"), [(None, 0.0), (1234.5, 1234.5)])
+def test_a_handed_over_packet_is_read_as_it_was_written(until: float | None, expected: float) -> None:
+    packet = wire.decode(wire.encode(wire.handed_over_packet(until, 7.0)))
+    assert wire.read_uncertain_until(packet, 7.0) == expected
+
+
 # ---- rules of the core, without sockets -------------------------------------------------------
 
 
@@ -300,6 +306,28 @@
     asyncio.run(scenario())
 
 
+def test_keys_that_are_uncertain_in_the_predecessor_are_so_in_its_successor(platform: dict[str, str]) -> None:
+    # Guards against a second run of a key, two upgrades after the first or an upgrade after a failed one.
+    address = prepare_platform(platform)
+
+    async def scenario() -> None:
+        async with (
+            Pool() as predecessor_pool,
+            Pool() as successor_pool,
+            running(None, platform, pool=predecessor_pool.address) as predecessor,
+        ):
+            predecessor.service.mark_keys_uncertain()
+            async with running(None, platform, pool=successor_pool.address) as successor:
+                client = await HttpClient(address).open()
+                assert (await client.post(1, "oddaja", key="k")).status == 500
+                assert (await client.post(2)).status == 200 and successor_pool.spawned == [encode_id(2)]
+                predecessor_until = predecessor.service.lifecycle.attempts.uncertain_until
+                successor_until = successor.service.lifecycle.attempts.uncertain_until
+                assert successor_until == pytest.approx(predecessor_until, abs=0.01)
+
+    asyncio.run(scenario())
+
+
 def test_a_stopping_predecessor_drains_if_the_successor_dies(
     platform: dict[str, str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_takeover_links.py
+++ b/tests/test_takeover_links.py
@@ -85,6 +85,7 @@
         (HandoverPacket("beside", {**LOAD_FIELDS, "on_core": "many"}), "field on_core is 'many'"),
         (HandoverPacket("entry", {**KEY_FIELDS, "until": -1.0}), "field until is -1.0"),
         (HandoverPacket("entry", {"key": "k"}), "'account'"),
+        (HandoverPacket("yours", {"uncertain": "soon"}), "field uncertain is 'soon'"),
     ],
 )
 def test_a_malformed_packet_of_the_predecessor_is_logged_and_the_link_stays_open(
