Takeover: a drain by operators goes over to the new version

The predecessor now reports it before it has handed over, and each later change, in a packet of its own ("withdrawn", field "on"); releases that don't know the kind ignore it. Calls at either process hold for both.

Evidence: the new test starts two programs by the deploy file; it fails before the change (health check 200 in place of 503) and passes with it, drain-off at the old process included.

--- a/saltcart/takeover/predecessor.py
+++ b/saltcart/takeover/predecessor.py
@@ -83,7 +83,7 @@
             error: Tells what can't be read.
         """
         self.log("handover-malformed", kind=kind, error=str(error))
-        if kind not in (PacketKind.LOAD, PacketKind.CONNECTION):
+        if kind not in (PacketKind.LOAD, PacketKind.WITHDRAWN, PacketKind.CONNECTION):
             self.has_unread_key = True
             self.service.mark_keys_uncertain()
         if kind == PacketKind.HANDED_OVER:
@@ -106,6 +106,8 @@
                 if not self.has_unread_key:
                     self.service.lifecycle.attempts.uncertain_until = uncertain_until
                 self.handover_ended.set()
+            case PacketKind.WITHDRAWN:
+                self.service.set_withdrawn(wire.read_withdrawn(packet))
             case PacketKind.CONNECTION if descriptor is not None:
                 self.set_connection_count(max(0, self.connection_count - 1))
                 self._start_attaching(packet, descriptor)
--- a/saltcart/takeover/successor.py
+++ b/saltcart/takeover/successor.py
@@ -30,15 +30,18 @@
         self.link: HandoverLink | None = None
         # The load and the number of client connections.
         self.last_sent_load: tuple[PredecessorLoad, int] | None = None
+        self.last_sent_withdrawn = False
         self.next_batch_timer: asyncio.TimerHandle | None = None
 
     def hand_over(self, link: HandoverLink) -> None:
         """Send all keys, stop accepting connections and start to pass the open ones."""
         self.link = link
         self.last_sent_load = None
+        self.last_sent_withdrawn = False
         for record in self.service.lifecycle.attempts.hand_over(self._send_key):
             self._send_key(record, False)
         self._send_load()
+        self._send_withdrawn()
         seconds_ahead = self.service.clock.seconds_ahead()
         link.send(wire.handed_over_packet(self.service.keys_uncertain_until(), seconds_ahead))
         for listener in self.fronts.values():
@@ -59,6 +62,13 @@
             self.last_sent_load = load
             self.link.send(wire.load_packet(*load))
 
+    def _send_withdrawn(self) -> None:
+        """Report that operators have withdrawn the instance, or ended that, at this process."""
+        is_withdrawn = self.service.drain.is_withdrawn
+        if self.link is not None and is_withdrawn != self.last_sent_withdrawn:
+            self.last_sent_withdrawn = is_withdrawn
+            self.link.send(wire.withdrawn_packet(is_withdrawn))
+
     def _pass_connection(self, connection: ServerConnection, buffered_bytes: bytes) -> bool:
         """Pass a connection to the successor and close it here; return False if it can't be passed now."""
         if self.link is None or connection.transport is None:
@@ -80,6 +90,7 @@
         passed_count = MAX_BATCH_CONNECTIONS  # an error with one connection must not stop the others
         try:
             self._send_load()
+            self._send_withdrawn()
             passed_count = self._pass_batch()
         finally:
             delay = BATCH_DELAY_SECONDS if passed_count == MAX_BATCH_CONNECTIONS else POLL_INTERVAL_SECONDS
--- a/saltcart/wire/handover.py
+++ b/saltcart/wire/handover.py
@@ -28,6 +28,7 @@
     FREED_KEY = "gone"  # an idempotency key that is free again because nothing ran
     LOAD = "beside"  # the load that remains on the predecessor
     HANDED_OVER = "yours"  # all keys were sent, and the successor serves from now on
+    WITHDRAWN = "withdrawn"  # whether operators have withdrawn the instance
     CONNECTION = "connection"  # a client connection, whose file descriptor is sent with the packet
 
 
@@ -173,6 +174,23 @@
     return read_number("uncertain", packet.fields["uncertain"]) + seconds_ahead
 
 
+def withdrawn_packet(is_withdrawn: bool) -> HandoverPacket:
+    """Return the packet that reports whether operators have withdrawn the instance."""
+    return HandoverPacket(PacketKind.WITHDRAWN, {"on": is_withdrawn})
+
+
+def read_withdrawn(packet: HandoverPacket) -> bool:
+    """Return whether operators have withdrawn the instance.
+
+    Raises:
+        MalformedMessageError: The field is missing or invalid.
+    """
+    value = packet.fields.get("on")
+    if not isinstance(value, bool):
+        raise MalformedMessageError(f"handover: field on is {value!r}, not true or false")
+    return value
+
+
 def connection_packet(connection: PassedConnection) -> HandoverPacket:
     """Return the packet for a connection that is passed to the successor."""
     fields = {"front": connection.front, "rests": connection.was_idle, "age": connection.state_age}
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -9,6 +9,7 @@
 import os
 import socket
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 
@@ -34,6 +35,7 @@
     running,
     until,
 )
+from tests.test_control import send_command
 from tests.test_sockets import start_program, wait_for_log_event
 
 KEY_RECORD = KeyRecord(
@@ -429,6 +431,25 @@
     asyncio.run(scenario())
 
 
+async def check_health(client: HttpClient) -> int:
+    client.writer.write(b"GET /ping HTTP/1.1\r\n\r\n")
+    return (await client.read_response()).status
+
+
+def reserve_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as free_socket:
+        return "{}:{}".format(*free_socket.getsockname())
+
+
+async def until_ready(control_address: str) -> None:
+    async with asyncio.timeout(20):
+        while True:
+            with suppress(ConnectionError):  # it does not listen yet
+                if (await send_command(control_address, b"check\n"))[0].startswith("OK"):
+                    return
+            await asyncio.sleep(0.02)
+
+
 # ---- the program ------------------------------------------------------------------------------
 
 
@@ -461,6 +482,42 @@
     asyncio.run(scenario())
 
 
+def test_a_drain_by_operators_goes_over_to_the_second_program(
+    platform: dict[str, str], tmp_path: Path
+) -> None:
+    # Guards against a health check that succeeds during a drain, as the new process knew nothing of it.
+    address, listen_fd = prepare_platform(platform), int(platform["BALANCER_LISTEN_FD"])
+    control_addresses = [reserve_address() for _ in range(2)]
+
+    async def scenario() -> None:
+        async with Pool() as predecessor_pool, Pool() as successor_pool:
+            programs = list[asyncio.subprocess.Process]()
+            for pool, control_address in zip((predecessor_pool, successor_pool), control_addresses):
+                config = raw_config(pool=pool.address, control=control_address)
+                program = await start_program(
+                    tmp_path / f"{len(programs)}.json", config, (listen_fd,), **platform
+                )
+                programs.append(program)
+                assert program.stdout is not None
+                await wait_for_log_event(program.stdout, "listening")
+                await until_ready(control_address)
+                if program is programs[0]:
+                    assert (await send_command(control_address, b"drain-on\n"))[0].startswith("OK")
+            client = await HttpClient(address).open()
+            assert await check_health(client) == 503
+            assert (await client.post(1)).status == 200 and successor_pool.spawned == [encode_id(1)]
+            # Calls at the process that has handed over hold for the instance, too.
+            assert (await send_command(control_addresses[0], b"drain-off\n"))[0].startswith("OK")
+            async with asyncio.timeout(20):
+                while await check_health(client) != 200:
+                    await asyncio.sleep(0.02)
+            for program in programs:
+                program.terminate()
+                await program.communicate()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(("fd", "folder", "status"), [("abc", "", 2), ("99", "", 2), ("99", "/not/there", 2)])
 def test_a_bad_listening_descriptor_ends_the_program_with_one_line(
     fd: str, folder: str, status: int, tmp_path: Path
