Takeover: a process that may have to serve again does not end meanwhile

While a process whose successor has ended looks for another one (0.1 s) it counted as idle, and could end in that time if both had been told to stop; requests that waited at the clients' socket would have been left there. What still depends on a process that has handed over is one method now.

By reading; the tests of takeovers pass before and after.

--- a/saltcart/takeover/hot_restart.py
+++ b/saltcart/takeover/hot_restart.py
@@ -220,16 +220,21 @@
         if self.retired_at is None or self.is_closed:  # it serves again, or has ended
             return
         loop = asyncio.get_running_loop()
-        has_connections = any(listener.connections for listener in self.fronts.values())
-        # The predecessor reports its runs to this process alone, which reports them to the successor.
-        has_predecessor = self.predecessor.link is not None
-        has_work = has_connections or self.service.requests or self.successor.has_unsent_packets()
         is_early = self.service.clock.read_seconds() < self.retired_at + MIN_RETIRE_SECONDS
-        if (has_work or has_predecessor or is_early) and loop.time() < latest_end:
+        if (is_early or self._is_needed()) and loop.time() < latest_end:
             loop.call_later(POLL_INTERVAL_SECONDS, self._finish_when_idle, on_finished, latest_end)
         else:
             on_finished()
 
+    def _is_needed(self) -> bool:
+        """Return whether another process or a client still depends on this one, which has handed over."""
+        has_connections = any(listener.connections for listener in self.fronts.values())
+        has_work = has_connections or bool(self.service.requests) or self.successor.has_unsent_packets()
+        # The predecessor reports its runs to this process alone, which reports them to the successor.
+        has_predecessor = self.predecessor.link is not None
+        may_serve_again = self.recovery_task is not None and not self.recovery_task.done()
+        return has_work or has_predecessor or may_serve_again
+
     def close(self) -> None:
         """Close both links and the socket, because this process ends."""
         self.is_closed = True
