--- a/saltcart/takeover/hot_restart.py
+++ b/saltcart/takeover/hot_restart.py
@@ -87,7 +87,8 @@
     def _start_serving(self) -> None:
         """Permit takeovers from now on, as there is nothing to stop before the fronts are open."""
         self.is_serving = True
-        link, self.waiting_link = self.waiting_link, None
+        link = self.waiting_link
+        self.waiting_link = None
         if link is not None and link.is_open:
             self._hand_over(link)
 
--- a/tests/test_faulty_peers.py
+++ b/tests/test_faulty_peers.py
@@ -380,7 +380,8 @@
             running(pool=pool.address, index=proxy.address) as app,
         ):
             assert app.pool is not None
-            session, request_id = app.pool.session, encode_id(1)
+            session = app.pool.session
+            request_id = encode_id(1)
 
             def supplied_count() -> int:
                 return sum(line.startswith(b"supply " + request_id) for line in pool.received_lines)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -486,7 +486,8 @@
     platform: dict[str, str], tmp_path: Path
 ) -> None:
     # Guards against a health check that succeeds during a drain, as the new process knew nothing of it.
-    address, listen_fd = prepare_platform(platform), int(platform["BALANCER_LISTEN_FD"])
+    address = prepare_platform(platform)
+    listen_fd = int(platform["BALANCER_LISTEN_FD"])
     control_addresses = [reserve_address() for _ in range(2)]
 
     async def scenario() -> None:
--- a/tests/test_takeover_chain.py
+++ b/tests/test_takeover_chain.py
@@ -50,7 +50,8 @@
             client = await HttpClient(shared_platform.address).open()
             client.send(1, budget_ms="60000")
             await until(lambda: len(first_pool.spawned) == 1)
-            first_ended, second_ended = asyncio.Event(), asyncio.Event()
+            first_ended = asyncio.Event()
+            second_ended = asyncio.Event()
             async with (
                 running(None, environment, pool=later_pool.address, **LONG_DEADLINES) as second,
                 running(None, environment, pool=later_pool.address) as third,
@@ -73,7 +74,8 @@
 def test_the_oldest_process_serves_again_only_if_no_later_one_does(shared_platform: Platform) -> None:
     # Guards against two processes that serve after the middle one of three has died.
     async def scenario() -> None:
-        log, environment = EventLog(), shared_platform.environment
+        log = EventLog()
+        environment = shared_platform.environment
         async with (
             Pool() as first_pool,
             Pool() as later_pool,
@@ -100,7 +102,8 @@
 ) -> None:
     # Guards against two processes that serve: an older one, and one that started when its predecessor died.
     async def scenario() -> None:
-        log, environment = EventLog(), shared_platform.environment
+        log = EventLog()
+        environment = shared_platform.environment
         async with (
             Pool() as first_pool,
             Pool() as later_pool,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -262,7 +262,8 @@
 
 def test_reply_that_may_have_arrived_is_not_sent_again() -> None:
     # Guards against the reply to one call being taken for that to the next, as a reply names no call.
-    session, buffer = pool.PoolSession(), Buffer()
+    session = pool.PoolSession()
+    buffer = Buffer()
 
     def receive(data: bytes) -> list[Any]:
         buffer.write(data)
