Fleet: with [member] on, a new version can take over

Membership and the routing that needs it have an owner of their own (saltcart/fleet.py) in place of three fields and a method of App. It joins at the start as before; while a predecessor may have the address it waits, routes without a view, and joins once the address is free (member-waiting). Without a takeover, or for another error, a start fails as before. The administration API asks the owner at each call.

--- a/saltcart/admin/api.py
+++ b/saltcart/admin/api.py
@@ -30,10 +30,8 @@
 from saltcart.field_reader import FieldReader, InvalidFieldError
 
 if TYPE_CHECKING:
+    from saltcart.fleet import Fleet
     from saltcart.net.composer import Composer
-    from saltcart.net.locality_driver import LocalityDriver
-    from saltcart.net.membership_driver import MembershipDriver
-    from saltcart.net.subset_driver import SubsetDriver
     from saltcart.retry_storm.controller import RetryStormController
 
 Reply = tuple[int, Any]  # status, body
@@ -59,9 +57,7 @@
         token: The bearer token that each request must carry.
         composer: Composes responses, if there are plans.
         storm_control: Returns the control of retry storms; ``None`` also until the worker pool is up.
-        membership: The view of the fleet.
-        locality: The zone-aware routing.
-        subsets: The subsetting of an upstream's members.
+        fleet: Membership, and the routing that needs it.
     """
 
     def __init__(
@@ -71,14 +67,13 @@
         token: str,
         composer: Composer | None = None,
         storm_control: Callable[[], RetryStormController | None] = lambda: None,
-        membership: MembershipDriver | None = None,
-        locality: LocalityDriver | None = None,
-        subsets: SubsetDriver | None = None,
+        fleet: Fleet | None = None,
     ) -> None:
         """Create the API; an optional feature that is off is ``None``."""
         self.service, self.registry, self.token = service, registry, token.encode()
-        self.composer, self.storm_control, self.membership = composer, storm_control, membership
-        self.locality, self.subsets = locality, subsets
+        self.composer = composer
+        self.storm_control = storm_control
+        self.fleet = fleet
         self.routes: dict[str, dict[str, Callable[..., Reply]]] = {
             "state": {"GET": self.get_state},
             "counts": {"GET": self.get_counts},
@@ -186,15 +181,18 @@
 
     def get_members(self) -> Reply:
         """Return this instance's view of the fleet."""
-        return 200, {} if self.membership is None else self.membership.state()
+        driver = None if self.fleet is None else self.fleet.membership
+        return 200, {} if driver is None else driver.state()
 
     def get_locality(self) -> Reply:
         """Return the state of zone-aware routing."""
-        return 200, {} if self.locality is None else self.locality.state()
+        driver = None if self.fleet is None else self.fleet.locality
+        return 200, {} if driver is None else driver.state()
 
     def get_fleet(self) -> Reply:
         """Return the state of subsetting."""
-        return 200, {} if self.subsets is None else self.subsets.state()
+        driver = None if self.fleet is None else self.fleet.subsets
+        return 200, {} if driver is None else driver.state()
 
     # ---- Tenants and shares ---------------------------------------------------------------------
 
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -32,11 +32,9 @@
 
 if TYPE_CHECKING:
     from saltcart.composition.plan import CompositionSpec
+    from saltcart.fleet import Fleet
     from saltcart.membership.settings import MemberSettings
     from saltcart.net.composer import Composer
-    from saltcart.net.locality_driver import LocalityDriver
-    from saltcart.net.membership_driver import MembershipDriver
-    from saltcart.net.subset_driver import SubsetDriver
     from saltcart.retry_storm.controller import RetryStormController
     from saltcart.retry_storm.settings import StormSettings
 
@@ -114,9 +112,7 @@
         self.upstreams: Upstreams | None = None
         self.composer: Composer | None = None
         self.storm_controller: RetryStormController | None = None
-        self.membership: MembershipDriver | None = None
-        self.locality: LocalityDriver | None = None
-        self.subsets: SubsetDriver | None = None
+        self.fleet: Fleet | None = None
         self.worker_pool_override: WorkerPool | None = None
         self.ticker: Ticker | None = None
 
@@ -209,9 +205,7 @@
                 admin.token,
                 self.composer,
                 lambda: self.storm_controller,
-                self.membership,
-                self.locality,
-                self.subsets,
+                self.fleet,
             )
             await self._listen(
                 "admin",
@@ -241,41 +235,18 @@
 
     async def _join_fleet(self, conf: MemberSettings) -> None:
         """Start membership, and the routing features that need it."""
-        from saltcart.net.membership_driver import MembershipDriver
-
-        self.membership = MembershipDriver(conf, self.conf.name, self.conf.seed, self.log)
-        self.addresses["member"] = await self.membership.open()
-        self.service.metric_sources.append(self.membership.metrics)
-        self.log("listening", name=self.conf.name, front="member", address=self.addresses["member"])
-        locality, fleet, upstreams = self.deployment.locality, self.deployment.fleet, self.upstreams
-        if upstreams is None:
-            return
-        configured, seed = {item.name: item for item in self.deployment.upstreams}, self.conf.seed
-        if locality is not None:
-            from saltcart.net.locality_driver import LocalityDriver
-
-            self.locality = LocalityDriver(
-                locality,
-                configured[locality.upstream],
-                self.membership,
-                upstreams.by_name[locality.upstream],
-                seed + 1,
-                self.log,
-                {spec.name: spec.priority_weight for spec in self.service.settings.classes},
-            )
-            self.service.metric_sources.append(self.locality.router.metrics)
-        if fleet is not None:
-            from saltcart.net.subset_driver import SubsetDriver
-
-            self.subsets = SubsetDriver(
-                fleet,
-                configured[fleet.upstream],
-                self.membership,
-                upstreams.by_name[fleet.upstream],
-                seed + 2,
-                self.log,
-            )
-            self.service.metric_sources.append(self.subsets.balancer.metrics)
+        from saltcart.fleet import Fleet
+
+        self.fleet = Fleet(
+            conf,
+            self.deployment,
+            self.conf.name,
+            self.conf.seed,
+            self.service,
+            self.upstreams,
+            self.log,
+        )
+        await self.fleet.open(has_predecessor=lambda: self.takeover is not None)
 
     def _compose(self, plans: CompositionSpec, upstreams: Upstreams) -> None:
         """Compose the responses of the plans' classes from several dependencies' replies."""
@@ -344,8 +315,8 @@
             on_finished: Called when a process that has handed over has no work left.
             notice_age: Seconds since the drain notice was received.
         """
-        if self.membership is not None:
-            self.membership.leave()
+        if self.fleet is not None:
+            self.fleet.leave()
         seconds_left = max(0.0, self.conf.stop_timeout - notice_age)
         if self.composer is not None:
             self.composer.shorten_deadlines(seconds_left - STOP_MARGIN_SECONDS)
@@ -384,7 +355,7 @@
             self.takeover.close()
         for listener in self.listeners:
             listener.close()
-        for link in (self.locality, self.subsets, self.pool, self.index, self.announcer, self.membership):
+        for link in (self.pool, self.index, self.announcer, self.fleet):
             if link is not None:
                 link.close()
         if self.composer is not None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import socket
 from collections.abc import Iterator
@@ -431,6 +432,54 @@
     asyncio.run(scenario())
 
 
+def test_a_second_program_joins_the_fleet_once_the_first_one_has_left_its_address(
+    platform: dict[str, str], tmp_path: Path
+) -> None:
+    # Guards against an upgrade that fails with "address already in use" where [member] is on.
+    address = prepare_platform(platform)
+    listen_fd = int(platform["BALANCER_LISTEN_FD"])
+    deployment = tmp_path / "saltcart.toml"
+    deployment.write_text(f'[member]\nlisten = "{reserve_udp_address()}"\ncluster = "test"\n')
+    environment = {**platform, "SALTCART_DEPLOYMENT": str(deployment)}
+
+    async def scenario() -> None:
+        async with Pool() as predecessor_pool, Pool() as successor_pool:
+            config = raw_config(pool=predecessor_pool.address)
+            predecessor = await start_program(tmp_path / "old.json", config, (listen_fd,), **environment)
+            assert predecessor.stdout is not None
+            await wait_for_lines(predecessor.stdout, ("listening", "member"))
+            await until(lambda: b"bind 0" in predecessor_pool.received_lines)
+            config = raw_config(pool=successor_pool.address)
+            successor = await start_program(tmp_path / "new.json", config, (listen_fd,), **environment)
+            assert successor.stdout is not None
+            await wait_for_lines(successor.stdout, ("member-waiting", None), ("listening", "http"))
+            client = await HttpClient(address).open()
+            assert (await client.post(1)).status == 200 and successor_pool.spawned == [encode_id(1)]
+            predecessor.terminate()
+            await predecessor.communicate()
+            await wait_for_lines(successor.stdout, ("listening", "member"))
+            successor.terminate()
+            await successor.communicate()
+            assert (predecessor.returncode, successor.returncode) == (0, 0)
+
+    asyncio.run(scenario())
+
+
+async def wait_for_lines(log_lines: asyncio.StreamReader, *expected: tuple[str, str | None]) -> None:
+    """Read a log until all the given events with their fronts have come, in any order."""
+    missing = set(expected)
+    async with asyncio.timeout(20):
+        while missing:
+            line = json.loads(await log_lines.readline())
+            missing.discard((line["event"], line.get("front")))
+
+
+def reserve_udp_address() -> str:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free_socket:
+        free_socket.bind(("127.0.0.1", 0))
+        return "{}:{}".format(*free_socket.getsockname())
+
+
 async def check_health(client: HttpClient) -> int:
     client.writer.write(b"GET /ping HTTP/1.1\r\n\r\n")
     return (await client.read_response()).status
