Takeover: a process that starts while another takes over waits for it to listen

Between a predecessor that hands over and a successor that listens at the handover socket nobody does. A third process that started in that moment found nobody, took itself for the first one, and served beside the second with none of its keys.

Where the socket's file shows that a process has listened, a new one now looks for a listener for up to 0.1 s, as a process whose successor has ended does. A start in a folder that is empty waits for nothing; a restart beside the file of a killed process is 0.1 s later.

Evidence: the new test fails before the change (the fronts are open at once) and passes with it.

--- a/saltcart/net/handover.py
+++ b/saltcart/net/handover.py
@@ -186,6 +186,10 @@
         finally:
             os.close(folder_descriptor)
 
+    def has_been_used(self) -> bool:
+        """Return whether a process of this instance has listened in this folder, now or earlier."""
+        return (self.folder / self.name).exists()
+
     def connect(self) -> HandoverLink | None:
         """Return a link to the process that serves now, or None if there is none."""
         link_socket = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
--- a/saltcart/takeover/hot_restart.py
+++ b/saltcart/takeover/hot_restart.py
@@ -24,8 +24,8 @@
 # min(longest deadline, MAX_DEADLINE_WAIT_SECONDS) + KILL_MARGIN_SECONDS.
 MAX_DEADLINE_WAIT_SECONDS = 3.0
 KILL_MARGIN_SECONDS = 0.7
-# A process that has just taken over from an ended successor may not listen at the handover socket yet.
-REPLACEMENT_TIMEOUT_SECONDS = 0.1
+# A process that is just taking over does not listen at the handover socket yet.
+LISTENING_TIMEOUT_SECONDS = 0.1
 MAX_TAKEOVER_ATTEMPTS = 3  # each from a process that ends before it has handed over
 
 
@@ -73,7 +73,7 @@
         pool_is_up = asyncio.Event()
         self.service.on_started = pool_is_up.set
         for _ in range(MAX_TAKEOVER_ATTEMPTS):
-            link = self.handover_listener.connect()
+            link = await self._find_serving_process()
             if link is None:
                 break
             await self.predecessor.take_over(link, pool_is_up)
@@ -162,10 +162,13 @@
     async def _find_serving_process(self) -> HandoverLink | None:
         """Return a link to the process that listens for a successor, or None if there is none."""
         loop = asyncio.get_running_loop()
-        latest_end = loop.time() + REPLACEMENT_TIMEOUT_SECONDS
-        while (link := self.handover_listener.connect()) is None and loop.time() < latest_end:
+        latest_end = loop.time() + LISTENING_TIMEOUT_SECONDS
+        while True:
+            link = self.handover_listener.connect()
+            is_over = loop.time() >= latest_end or not self.handover_listener.has_been_used()
+            if link is not None or is_over:
+                return link
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        return link
 
     async def _serve_again(self) -> None:
         """Continue to serve without a successor, or drain if the drain notice has been received."""
--- a/tests/test_takeover_chain.py
+++ b/tests/test_takeover_chain.py
@@ -15,6 +15,7 @@
 from saltcart.config import read_config
 from saltcart.deployment import Deployment
 from saltcart.net.listener import Listener
+from saltcart.takeover import hot_restart
 from saltcart.takeover.hot_restart import MIN_RETIRE_SECONDS
 from saltcart.wire import handover as wire
 from tests.standins import (
@@ -163,3 +164,37 @@
                 await app.close()
 
     asyncio.run(scenario())
+
+
+def test_a_process_that_starts_while_another_takes_over_waits_for_it_to_listen(
+    shared_platform: Platform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against two processes that serve: one found nobody at the socket between two listeners.
+    monkeypatch.setattr(hot_restart, "LISTENING_TIMEOUT_SECONDS", 20.0)
+    path = shared_platform.folder / "saltcart-n1"
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as closed_socket:
+            closed_socket.bind(str(path))  # as the predecessor leaves it
+        async with Pool() as pool:
+            conf = read_config(raw_config(pool=pool.address), shared_platform.environment)
+            app = App(conf, Deployment(), EventLog())
+            await app.start()
+            try:
+                await until(lambda: app.service.controller is not None)
+                assert not app.fronts
+                path.unlink()
+                with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listening_socket:
+                    listening_socket.bind(str(path))
+                    listening_socket.listen(1)
+                    listening_socket.setblocking(False)
+                    link, _ = await loop.sock_accept(listening_socket)
+                    with link:
+                        assert b"take" in await loop.sock_recv(link, 4096)
+                        link.send(wire.encode(wire.HandoverPacket("yours", {})))
+                        await until(app.is_ready)
+            finally:
+                await app.close()
+
+    asyncio.run(scenario())
