App: the start in steps, and the limits of connections in a module of their own

App.start was one function of 95 lines that computed limits of descriptors, connected the peers, and opened every listener. The limits are a pure function now (saltcart/descriptors.py), the start is a list of steps of one job each. The figures and the order of the steps are as before.

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -16,10 +16,10 @@
 from saltcart.core.ports import Log, WorkerPool
 from saltcart.core.service import Service
 from saltcart.decision.settings import Settings
-from saltcart.deployment import Deployment
+from saltcart.deployment import AdminSettings, Deployment
+from saltcart.descriptors import allocate_connections
 from saltcart.field_reader import InvalidFieldError
 from saltcart.front.ajp import AjpConnection
-from saltcart.front.control import MAX_CONNECTIONS as CONTROL_CONNECTIONS
 from saltcart.front.control import ControlConnection
 from saltcart.front.http import HttpConnection
 from saltcart.net.announcer import Announcer
@@ -39,17 +39,7 @@
     from saltcart.retry_storm.settings import StormSettings
 
 KEY_MEMORY_SHARE = 0.25  # of the memory limit, for idempotency keys with their stored results
-OPERATOR_IDLE_SECONDS, MAX_ADMIN_CONNECTIONS = 30.0, 16
-# File descriptors for the pool, the announce service, listeners, logs, the event loop and connections being
-# closed; and for a successor that starts while this process still serves, before its takeover.
-RESERVED_DESCRIPTORS, SUCCESSOR_DESCRIPTORS = 56, 24
-# Connections to the index: the limit of descriptors divided by the divisor, within the two bounds.
-MIN_INDEX_CONNECTIONS = 4
-MAX_INDEX_CONNECTIONS = 64
-INDEX_DIVISOR = 6
-# Under a low limit less is reserved, and operators get fewer connections: at most the limit divided by these
-# divisors.  Balancers may hold half of the descriptors.
-RESERVED_DIVISOR, MIN_RESERVED_DESCRIPTORS, OPERATOR_DIVISOR = 5, 16, 16
+OPERATOR_IDLE_SECONDS = 30.0
 AJP_DIVISOR = 3  # the AJP front may have the limit of client connections divided by this
 
 
@@ -125,40 +115,41 @@
             ConfigError: If the file of saved tenants is invalid.
             OSError: If an address can't be listened on.
         """
-        conf, service, loop = self.conf, self.service, asyncio.get_running_loop()
-        index_connections, operator_limit = (
-            max(MIN_INDEX_CONNECTIONS, min(MAX_INDEX_CONNECTIONS, conf.max_sockets // INDEX_DIVISOR)),
-            conf.max_sockets // OPERATOR_DIVISOR,
-        )
-        control_connections, admin_connections = (
-            min(CONTROL_CONNECTIONS, operator_limit),
-            min(MAX_ADMIN_CONNECTIONS, operator_limit),
-        )
-        client_connections = (
-            conf.max_sockets
-            - index_connections
-            - min(RESERVED_DESCRIPTORS, max(MIN_RESERVED_DESCRIPTORS, conf.max_sockets // RESERVED_DIVISOR))
-        )
-        if self.deployment.admin is not None:
-            client_connections -= admin_connections
-        if conf.listen_fd is not None:
-            client_connections -= min(SUCCESSOR_DESCRIPTORS, operator_limit)
-        if conf.control:
-            client_connections -= control_connections
+        limits = allocate_connections(self.conf, has_admin=self.deployment.admin is not None)
         if self.deployment.storm is not None:
             self._enable_storm_control(self.deployment.storm)
+        self._connect_peers(limits.index)
+        self._start_worker_pool()
+        self.ticker = Ticker(self.service, asyncio.get_running_loop())
+        await self._start_serving(limits.client)
+        if self.conf.control:
+            await self._open_control(self.conf.control, limits.control)
+        if self.deployment.member is not None:
+            await self._join_fleet(self.deployment.member)
+        if self.deployment.admin is not None:
+            await self._open_admin(self.deployment.admin, limits.admin)
+
+    def _connect_peers(self, max_index_connections: int) -> None:
+        """Connect to the announce service and the index, if they are configured."""
+        conf = self.conf
+        ports = self.service.ports
         if conf.announce:
-            service.ports.registration = self.announcer = Announcer(conf.announce, conf.name, self.log)
+            self.announcer = Announcer(conf.announce, conf.name, self.log)
+            ports.registration = self.announcer
             self.announcer.start()
         if conf.index:
-            service.ports.dependency_calls = self.index = IndexClient(
-                conf.index, service, self.log, index_connections
-            )
+            self.index = IndexClient(conf.index, self.service, self.log, max_index_connections)
+            ports.dependency_calls = self.index
+
+    def _start_worker_pool(self) -> None:
+        """Start what runs the requests: the platform's worker pool, or upstreams."""
+        service = self.service
         if self.worker_pool_override is not None:
             service.ports.workers = self.worker_pool_override
             service.pool_started(False, 0.0)
-        elif conf.pool:
-            service.ports.workers = self.pool = PoolLink(conf.pool, service, self.log)
+        elif self.conf.pool:
+            self.pool = PoolLink(self.conf.pool, service, self.log)
+            service.ports.workers = self.pool
             self.pool.start()
         else:
             self.upstreams = Upstreams(self.deployment, service, self.log, service.settings.cores)
@@ -166,57 +157,57 @@
             if self.deployment.plans is not None:
                 self._compose(self.deployment.plans, self.upstreams)
             service.pool_started(False, 0.0)
-        self.ticker = Ticker(service, loop)
-        if conf.listen_fd is not None and conf.shared_folder is not None:
-            self.takeover = Takeover(
-                Path(conf.shared_folder),
-                conf.name,
-                service,
-                self.log,
-                self.fronts,
-                lambda: self._open_fronts(client_connections),
-                self.announcer,
-                self.index,
-            )
-            self.takeover_task = loop.create_task(self.takeover.start_serving())
-        else:
-            await self._open_fronts(client_connections)
-        if conf.control:
-            await self._listen(
-                "control",
-                Listener(
-                    conf.control,
-                    lambda owner: ControlConnection(owner, service, self.is_ready),
-                    lambda: OPERATOR_IDLE_SECONDS,
-                    control_connections,
-                ),
-            )
-        if self.deployment.member is not None:
-            await self._join_fleet(self.deployment.member)
-        if (admin := self.deployment.admin) is not None:
-            registry = Registry(
-                self.deployment, service, self.upstreams, Path(admin.state_file) if admin.state_file else None
-            )
-            if self.composer is not None:
-                registry.on_tenant_removed = self.composer.engine.stale_cache.remove_tenant
-            api = AdminApi(
-                service,
-                registry,
-                admin.token,
-                self.composer,
-                lambda: self.storm_controller,
-                self.fleet,
-            )
-            await self._listen(
-                "admin",
-                Listener(
-                    admin.listen,
-                    lambda owner: AdminConnection(owner, api),
-                    lambda: OPERATOR_IDLE_SECONDS,
-                    admin_connections,
-                    reuse_port=self.takeover is not None,
-                ),
-            )
+
+    async def _start_serving(self, max_connections: int) -> None:
+        """Open the fronts, or start to take over where a predecessor may have to hand over first."""
+        conf = self.conf
+        if conf.listen_fd is None or conf.shared_folder is None:
+            await self._open_fronts(max_connections)
+            return
+        self.takeover = Takeover(
+            Path(conf.shared_folder),
+            conf.name,
+            self.service,
+            self.log,
+            self.fronts,
+            lambda: self._open_fronts(max_connections),
+            self.announcer,
+            self.index,
+        )
+        self.takeover_task = asyncio.get_running_loop().create_task(self.takeover.start_serving())
+
+    async def _open_control(self, address: str, max_connections: int) -> None:
+        """Open the operators' front."""
+        listener = Listener(
+            address,
+            lambda owner: ControlConnection(owner, self.service, self.is_ready),
+            lambda: OPERATOR_IDLE_SECONDS,
+            max_connections,
+        )
+        await self._listen("control", listener)
+
+    async def _open_admin(self, conf: AdminSettings, max_connections: int) -> None:
+        """Open the administration API."""
+        state_file = Path(conf.state_file) if conf.state_file else None
+        registry = Registry(self.deployment, self.service, self.upstreams, state_file)
+        if self.composer is not None:
+            registry.on_tenant_removed = self.composer.engine.stale_cache.remove_tenant
+        api = AdminApi(
+            self.service,
+            registry,
+            conf.token,
+            self.composer,
+            lambda: self.storm_controller,
+            self.fleet,
+        )
+        listener = Listener(
+            conf.listen,
+            lambda owner: AdminConnection(owner, api),
+            lambda: OPERATOR_IDLE_SECONDS,
+            max_connections,
+            reuse_port=self.takeover is not None,
+        )
+        await self._listen("admin", listener)
 
     def _enable_storm_control(self, conf: StormSettings) -> None:
         """Have the core create the control of retry storms once its pool is up."""
