Takeover: a shared folder that can't be read does not stop the start

Path.exists raises where the folder can't be reached (access, length of the name), which would have ended the task that opens the fronts. os.path.exists answers no. The new test fails before the change.

--- a/saltcart/net/handover.py
+++ b/saltcart/net/handover.py
@@ -187,8 +187,8 @@
             os.close(folder_descriptor)
 
     def has_been_used(self) -> bool:
-        """Return whether a process of this instance has listened in this folder, now or earlier."""
-        return (self.folder / self.name).exists()
+        """Return whether a process of this instance has listened in this folder, if that can be read."""
+        return os.path.exists(self.folder / self.name)  # unlike ``Path.exists``, it raises no ``OSError``
 
     def connect(self) -> HandoverLink | None:
         """Return a link to the process that serves now, or None if there is none."""
--- a/tests/test_takeover_chain.py
+++ b/tests/test_takeover_chain.py
@@ -8,12 +8,14 @@
 import asyncio
 import os
 import socket
+from pathlib import Path
 
 import pytest
 
 from saltcart.app import App
 from saltcart.config import read_config
 from saltcart.deployment import Deployment
+from saltcart.net.handover import HandoverListener
 from saltcart.net.listener import Listener
 from saltcart.takeover import hot_restart
 from saltcart.takeover.hot_restart import MIN_RETIRE_SECONDS
@@ -166,6 +168,12 @@
     asyncio.run(scenario())
 
 
+def test_a_folder_that_cannot_be_read_has_no_listener() -> None:
+    # Guards against a start that ends in an error where the shared folder can't be reached.
+    listener = HandoverListener(Path("/" + "x" * 5000), "saltcart-n1", lambda link: None)
+    assert not listener.has_been_used() and listener.connect() is None
+
+
 def test_a_process_that_starts_while_another_takes_over_waits_for_it_to_listen(
     shared_platform: Platform, monkeypatch: pytest.MonkeyPatch
 ) -> None:
