Administration: the process that serves takes the changes, also during an upgrade

Changes between the start of the new process and the handover were lost in the same way, as it had read the file of "state" before them.

Registry, API and listener have one owner now (saltcart/admin/administration.py). The process that hands over closes its listener first; the new one reads the file when it has taken over, and listens after its fronts are open. A process that serves again reads the file and listens again. Reading the file no longer writes it back. Without "state", changes made before an upgrade are lost, as in a restart.

--- a/saltcart/admin/registry.py
+++ b/saltcart/admin/registry.py
@@ -75,15 +75,22 @@
         self.plan_upstreams = (
             set() if plans is None else {dependency.upstream for dependency in plans.dependency}
         )
-        if state_file is not None and state_file.exists():
-            self._restore(state_file)
+        self.restore()
 
-    def _restore(self, path: Path) -> None:
+    def restore(self) -> None:
+        """Read the saved tenants and upstreams, if there are any; another process may have changed them.
+
+        Raises:
+            ConfigError: If the file exists and can't be read or its content is invalid.
+        """
+        path = self.state_file
+        if path is None or not path.exists():
+            return
         try:
             raw = orjson.loads(path.read_bytes())
             tenants = [read_tenant(item, f"tenant[{n}]") for n, item in enumerate(raw["tenants"])]
             upstreams = [read_upstream(item, f"upstream[{n}]") for n, item in enumerate(raw["upstreams"])]
-            self._change(tenants, upstreams)
+            self._apply(tenants, upstreams)
         except (OSError, ValueError, KeyError, TypeError, InvalidFieldError) as error:
             raise ConfigError(f"{path}: {error}") from None
 
@@ -137,6 +144,11 @@
         return [item for item in known.values() if item.name != name]
 
     def _change(self, tenants: list[TenantConf], upstreams: list[UpstreamConf]) -> None:
+        self._apply(tenants, upstreams)
+        if self.state_file is not None:
+            self._save(self.state_file)
+
+    def _apply(self, tenants: list[TenantConf], upstreams: list[UpstreamConf]) -> None:
         # All checks come first, so that an invalid change leaves everything as it was.
         if missing := self.plan_upstreams - {None} - {upstream.name for upstream in upstreams}:
             raise InvalidFieldError(f"upstream {min(map(str, missing))}: plans need it")
@@ -163,8 +175,6 @@
                 self.live_upstreams.assign_tenant(name, None)
                 self.on_tenant_removed(name)
         self.service.set_tenants(tenant_specs(tenants))
-        if self.state_file is not None:
-            self._save(self.state_file)
 
     def _save(self, path: Path) -> None:
         """Replace the state file in one step; only its owner may read it, as it has secrets."""
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -8,16 +8,15 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from saltcart.admin.api import AdminApi
-from saltcart.admin.registry import Registry, tenant_specs
-from saltcart.admin.server import AdminConnection
+from saltcart.admin.administration import Administration
+from saltcart.admin.registry import tenant_specs
 from saltcart.config import Config, ConfigError
 from saltcart.core.draining import STOP_MARGIN_SECONDS
 from saltcart.core.ports import Log, WorkerPool
 from saltcart.core.service import Service
 from saltcart.decision.settings import Settings
 from saltcart.deployment import AdminSettings, Deployment
-from saltcart.descriptors import allocate_connections
+from saltcart.descriptors import ConnectionLimits, allocate_connections
 from saltcart.field_reader import InvalidFieldError
 from saltcart.front.ajp import AjpConnection
 from saltcart.front.control import ControlConnection
@@ -103,6 +102,7 @@
         self.composer: Composer | None = None
         self.storm_controller: RetryStormController | None = None
         self.fleet: Fleet | None = None
+        self.administration: Administration | None = None
         self.worker_pool_override: WorkerPool | None = None
         self.ticker: Ticker | None = None
 
@@ -121,13 +121,15 @@
         self._connect_peers(limits.index)
         self._start_worker_pool()
         self.ticker = Ticker(self.service, asyncio.get_running_loop())
-        await self._start_serving(limits.client)
-        if self.conf.control:
-            await self._open_control(self.conf.control, limits.control)
         if self.deployment.member is not None:
-            await self._join_fleet(self.deployment.member)
+            self.fleet = self._make_fleet(self.deployment.member)
         if self.deployment.admin is not None:
-            await self._open_admin(self.deployment.admin, limits.admin)
+            self.administration = self._make_administration(self.deployment.admin)
+        await self._start_serving(limits)
+        if self.conf.control:
+            await self._open_control(self.conf.control, limits.control)
+        if self.fleet is not None:
+            await self.fleet.open(has_predecessor=lambda: self.takeover is not None)
 
     def _connect_peers(self, max_index_connections: int) -> None:
         """Connect to the announce service and the index, if they are configured."""
@@ -158,11 +160,12 @@
                 self._compose(self.deployment.plans, self.upstreams)
             service.pool_started(False, 0.0)
 
-    async def _start_serving(self, max_connections: int) -> None:
+    async def _start_serving(self, limits: ConnectionLimits) -> None:
         """Open the fronts, or start to take over where a predecessor may have to hand over first."""
         conf = self.conf
         if conf.listen_fd is None or conf.shared_folder is None:
-            await self._open_fronts(max_connections)
+            await self._open_fronts(limits.client)
+            await self._open_admin(limits.admin)
             return
         self.takeover = Takeover(
             Path(conf.shared_folder),
@@ -170,7 +173,9 @@
             self.service,
             self.log,
             self.fronts,
-            lambda: self._open_fronts(max_connections),
+            lambda: self._open_after_takeover(limits),
+            self._suspend_admin,
+            self._resume_admin,
             self.announcer,
             self.index,
         )
@@ -186,28 +191,32 @@
         )
         await self._listen("control", listener)
 
-    async def _open_admin(self, conf: AdminSettings, max_connections: int) -> None:
-        """Open the administration API."""
-        state_file = Path(conf.state_file) if conf.state_file else None
-        registry = Registry(self.deployment, self.service, self.upstreams, state_file)
-        if self.composer is not None:
-            registry.on_tenant_removed = self.composer.engine.stale_cache.remove_tenant
-        api = AdminApi(
-            self.service,
-            registry,
-            conf.token,
-            self.composer,
-            lambda: self.storm_controller,
-            self.fleet,
-        )
-        listener = Listener(
-            conf.listen,
-            lambda owner: AdminConnection(owner, api),
-            lambda: OPERATOR_IDLE_SECONDS,
-            max_connections,
-            reuse_port=self.takeover is not None,
-        )
-        await self._listen("admin", listener)
+    async def _open_after_takeover(self, limits: ConnectionLimits) -> None:
+        """Open the fronts and the administration API, with the changes that the predecessor has saved."""
+        if self.administration is not None:
+            self.administration.restore()
+        await self._open_fronts(limits.client)
+        try:
+            await self._open_admin(limits.admin)
+        except OSError as error:  # clients are served all the same
+            self.log("admin-closed", error=str(error))
+
+    async def _open_admin(self, max_connections: int) -> None:
+        """Open the administration API, if it is on."""
+        if self.administration is None:
+            return
+        reuse_port = self.takeover is not None
+        address = await self.administration.open(max_connections, reuse_port=reuse_port)
+        self.addresses["admin"] = address
+        self.log("listening", name=self.conf.name, front="admin", address=address)
+
+    def _suspend_admin(self) -> None:
+        if self.administration is not None:
+            self.administration.suspend()
+
+    async def _resume_admin(self) -> None:
+        if self.administration is not None:
+            await self.administration.resume()
 
     def _enable_storm_control(self, conf: StormSettings) -> None:
         """Have the core create the control of retry storms once its pool is up."""
@@ -224,11 +233,24 @@
 
         service.make_storm_control = make_storm_control
 
-    async def _join_fleet(self, conf: MemberSettings) -> None:
-        """Start membership, and the routing features that need it."""
+    def _make_administration(self, conf: AdminSettings) -> Administration:
+        """Return the owner of the administration API; raise ``ConfigError`` if its saved state is invalid."""
+        return Administration(
+            conf,
+            self.deployment,
+            self.service,
+            self.upstreams,
+            self.composer,
+            lambda: self.storm_controller,
+            self.fleet,
+            self.log,
+        )
+
+    def _make_fleet(self, conf: MemberSettings) -> Fleet:
+        """Return the owner of membership and of the routing features that need it."""
         from saltcart.fleet import Fleet
 
-        self.fleet = Fleet(
+        return Fleet(
             conf,
             self.deployment,
             self.conf.name,
@@ -237,7 +259,6 @@
             self.upstreams,
             self.log,
         )
-        await self.fleet.open(has_predecessor=lambda: self.takeover is not None)
 
     def _compose(self, plans: CompositionSpec, upstreams: Upstreams) -> None:
         """Compose the responses of the plans' classes from several dependencies' replies."""
@@ -346,7 +367,7 @@
             self.takeover.close()
         for listener in self.listeners:
             listener.close()
-        for link in (self.pool, self.index, self.announcer, self.fleet):
+        for link in (self.administration, self.pool, self.index, self.announcer, self.fleet):
             if link is not None:
                 link.close()
         if self.composer is not None:
--- a/saltcart/takeover/hot_restart.py
+++ b/saltcart/takeover/hot_restart.py
@@ -36,6 +36,10 @@
         folder: The private folder that all processes of this instance share.
         name: The name of the instance, which is part of the name of the socket in the folder.
         fronts: The listeners by front name, which ``open_fronts`` fills.
+        open_fronts: Opens the fronts and whatever else only the serving process may have open.
+        on_handed_over: Called when a successor has taken over, to close what ``open_fronts`` opened beside
+            the fronts.
+        on_serving_again: Called after that when this process serves again.
     """
 
     def __init__(
@@ -46,6 +50,8 @@
         log: Log,
         fronts: dict[str, Listener],
         open_fronts: Callable[[], Awaitable[None]],
+        on_handed_over: Callable[[], None],
+        on_serving_again: Callable[[], Awaitable[None]],
         announcer: Announcer | None,
         index: IndexClient | None,
     ) -> None:
@@ -53,6 +59,8 @@
         self.log = log
         self.fronts = fronts
         self.open_fronts = open_fronts
+        self.on_handed_over = on_handed_over
+        self.on_serving_again = on_serving_again
         self.announcer = announcer
         self.handover_listener = HandoverListener(folder, f"saltcart-{name}", self._on_connected)
         self.predecessor = Predecessor(service, log, fronts, index)
@@ -132,6 +140,7 @@
         self.handover_listener.close()
         if self.announcer is not None:
             self.announcer.close()  # the successor's reports now keep the entry in the endpoint list
+        self.on_handed_over()
         self.successor.hand_over(link)
 
     def _on_successor_link_lost(self, link: HandoverLink) -> None:
@@ -183,6 +192,7 @@
             await self._reopen_front(listener)
         if self.announcer is not None:
             self.announcer.resume()
+        await self.on_serving_again()
         self._start_serving()
 
     async def _reopen_front(self, listener: Listener) -> None:
