Laboratory: the last two modules documented, and in plain terms

storm_sockets.py and subsets.py had public items without docstrings and private names (play, seen, works, luck, modelled).

--- a/saltcart/lab/storm_sockets.py
+++ b/saltcart/lab/storm_sockets.py
@@ -1,9 +1,9 @@
-"""A storm on sockets: four real programs, killed and restarted cold, under clients that repeat without limit.
+"""Experiment: a retry storm on sockets, with real processes and clients that retry without limit.
 
-Half of the fleet is killed for ``OUT_FOR`` seconds and comes back cold; later the other two are killed and
-restarted at once, one after the other.  Each program's work is done by an AJP stand-in of its own, which is
-as cold as its program.  The play is in real time and so not the same to the last try every time; the draws of
-requests, works and clients are.
+Half of the fleet is killed for ``OUTAGE_SECONDS`` and starts again cold; later the other two processes are
+killed and restarted at once, one after the other.  Each process's requests run on an AJP stand-in of its own,
+which is as cold as its process.  The requests, their work and the clients depend on the seed; the simulation
+runs in real time, so that the number of attempts differs a little each time.
 """
 
 from __future__ import annotations
@@ -30,13 +30,13 @@
 CRASHES = ((26.0, 2), (30.0, 3))  # killed and restarted at once
 SECONDS, TAIL = 40.0, 5.0  # of new work, and for the last of it to end
 COLD_FROM, COLD_SPAN = 0.3, 6.0
-SLACK = 0.3  # seconds past its due time from which an answer is late, on a machine that does other work
+SLACK = 0.3  # seconds after its due time from which a response is late, on a machine that does other work
 CONNECT = 0.05  # seconds that a refused connection costs a client
 
 
 @dataclass
-class Works:
-    """What does one node's work: first come first served on its cores, slow while cold."""
+class WorkerStandIn:
+    """Runs one process's requests in the order of their arrival on its cores, slowly while cold."""
 
     works: list[float]
     born: float = 0.0
@@ -46,12 +46,14 @@
     began: dict[tuple[int, int], float] = field(default_factory=dict)
     twice: int = 0
 
-    def renew(self, cold: bool) -> None:
+    def restart(self, cold: bool) -> None:
+        """Start again with idle cores, cold or warm."""
         self.life += 1
         self.born, self.cores = time.time() - (0.0 if cold else COLD_SPAN), [0.0] * CORES
 
-    def __call__(self, asked: ReceivedCall) -> ScriptedReply:
-        number, now = int(orjson.loads(asked.body)["n"]), time.time()
+    def __call__(self, received: ReceivedCall) -> ScriptedReply:
+        """Run a request, and return its reply with the delay until its run ends."""
+        number, now = int(orjson.loads(received.body)["n"]), time.time()
         key = self.life, number
         window = CLASSES[1].key_window
         if number >= 0:  # a keyed one: not again within the window of the run before
@@ -65,7 +67,9 @@
 
 
 @dataclass
-class Seen:
+class StormResult:
+    """What the clients of one policy experienced; worth is by the second in which a request began."""
+
     offered: Counter[int] = field(default_factory=Counter)
     earned: Counter[int] = field(default_factory=Counter)
     tries: int = 0
@@ -74,8 +78,8 @@
     told: int = 0
 
 
-class Play:
-    """One policy's play: ``storm`` or ``off``."""
+class StormScenario:
+    """The scenario with one policy: ``storm`` or ``off``."""
 
     def __init__(self, policy: str, seed: int) -> None:
         self.policy, self.rng = policy, random.Random(seed)
@@ -87,11 +91,12 @@
         self.kinds = [int(self.rng.random() < KEYED_SHARE) for _ in self.births]
         self.obeys = [self.rng.random() < 0.5 for _ in self.births]
         self.orders = [self.rng.sample(range(NODES), NODES) for _ in self.births]
-        self.places = [Works(self.works) for _ in range(NODES)]
-        self.seen = Seen()
+        self.places = [WorkerStandIn(self.works) for _ in range(NODES)]
+        self.result = StormResult()
         self.serial = 0
 
-    def make(self, stand_ins: list[AjpStandIn]) -> Any:
+    def program_factory(self, stand_ins: list[AjpStandIn]) -> Any:
+        """Return a function that makes the program of a number; it runs on the stand-in of that number."""
         classes = [
             {
                 "name": c.name,
@@ -104,7 +109,8 @@
             for c in CLASSES
         ]
 
-        def make(number: int, folder: Path) -> Program:
+        def make_program(number: int, folder: Path) -> Program:
+            """Return the program of a number."""
             deployment: dict[str, Any] = {
                 "upstream": [{"name": "work", "members": [{"host": stand_ins[number].address}]}]
             }
@@ -118,10 +124,10 @@
             }
             return Program(f"n{number}", folder, config, deployment)
 
-        return make
+        return make_program
 
     def request(self, n: int) -> bytes:
-        """Another try of a piece of work: nothing marks it as one."""
+        """Return a new attempt of a request; nothing marks it as a retry."""
         spec, self.serial = CLASSES[self.kinds[n]], self.serial + 1
         body = b'{"n":%d}' % (n if self.kinds[n] else -n)
         return request(
@@ -129,97 +135,102 @@
         )
 
     async def client(self, n: int, programs: list[Program], begun: float) -> None:
-        """One piece of work, tried without limit until it is served or the play is over."""
+        """Send a request, and retry it without limit until it is served or the scenario is over."""
         loop, spec, rng = asyncio.get_running_loop(), CLASSES[self.kinds[n]], random.Random(n)
         await asyncio.sleep(begun + self.births[n] - loop.time())
         second, at = int(self.births[n]), 0
-        self.seen.offered[second] += int(spec.priority_weight)
+        self.result.offered[second] += int(spec.priority_weight)
         while loop.time() - begun < SECONDS + TAIL:
             node, sent = self.orders[n][at % NODES], loop.time()
-            self.seen.tries += 1
+            self.result.tries += 1
             wait, follow = rng.uniform(*IMPATIENT_RETRY_SECONDS), at + 1
             try:
                 answer = await call(programs[node].addresses["http"], self.request(n), spec.deadline + 0.5)
             except ConnectionRefusedError:
                 wait = CONNECT
             except TimeoutError:
-                self.seen.unanswered += programs[node].was_running(time.time(), spec.deadline + 0.5)
+                self.result.unanswered += programs[node].was_running(time.time(), spec.deadline + 0.5)
                 follow = at if self.kinds[n] else at + 1
             except OSError:  # cut: a keyed one may have run there
                 follow = at if self.kinds[n] else at + 1
             else:
-                self.seen.late += loop.time() - sent > spec.deadline + SLACK
+                self.result.late += loop.time() - sent > spec.deadline + SLACK
                 if answer.status == 200:
                     if loop.time() - begun - self.births[n] <= spec.latency_objective:
-                        self.seen.earned[second] += int(spec.priority_weight)
+                        self.result.earned[second] += int(spec.priority_weight)
                     return
                 if answer.status == 500 and self.kinds[n]:
                     follow = at
                 back = int(answer.headers.get(b"retry-after", b"0"))
                 if back:
-                    self.seen.told += 1
+                    self.result.told += 1
                     if self.obeys[n]:
                         wait, follow = back + rng.uniform(0.0, 0.05), at
             at = follow
             await asyncio.sleep(wait)
 
-    async def faults(self, programs: list[Program], begun: float) -> None:
+    async def inject_faults(self, programs: list[Program], begun: float) -> None:
+        """Kill and restart processes at the times of the scenario."""
         loop = asyncio.get_running_loop()
 
-        async def until(at: float) -> None:
+        async def sleep_until(at: float) -> None:
+            """Sleep until a time in seconds since the start."""
             await asyncio.sleep(max(0.0, begun + at - loop.time()))
 
-        await until(OUTAGE_START_SECONDS)
+        await sleep_until(OUTAGE_START_SECONDS)
         for n in OUT:
             programs[n].kill()
-        await until(OUTAGE_START_SECONDS + OUTAGE_SECONDS - 0.5)  # about what a start takes
-        await asyncio.gather(*(self.revive(programs[n], self.places[n]) for n in OUT))
+        await sleep_until(OUTAGE_START_SECONDS + OUTAGE_SECONDS - 0.5)  # about what a start takes
+        await asyncio.gather(*(self.restart_cold(programs[n], self.places[n]) for n in OUT))
         for at, n in CRASHES:
-            await until(at)
+            await sleep_until(at)
             programs[n].kill()
-            await self.revive(programs[n], self.places[n])
+            await self.restart_cold(programs[n], self.places[n])
 
-    async def revive(self, program: Program, place: Works) -> None:
+    async def restart_cold(self, program: Program, place: WorkerStandIn) -> None:
+        """Start a program that was killed, with a cold worker."""
         await program.wait_until_ended()
-        place.renew(cold=True)
+        place.restart(cold=True)
         await program.start()
 
     async def run(self) -> dict[str, Any]:
+        """Run the scenario and return its figures."""
         async with AsyncExitStack() as stack:
             stand_ins = [await stack.enter_async_context(AjpStandIn(place)) for place in self.places]
-            programs = await stack.enter_async_context(fleet(NODES, self.make(stand_ins)))
+            programs = await stack.enter_async_context(fleet(NODES, self.program_factory(stand_ins)))
             await start_all(programs)
             for place in self.places:
-                place.renew(cold=False)
+                place.restart(cold=False)
             begun = asyncio.get_running_loop().time() + 0.5
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.faults(programs, begun))
+                group.create_task(self.inject_faults(programs, begun))
                 for n in range(len(self.births)):
                     group.create_task(self.client(n, programs, begun))
             lives = sum(len(p.run_spans) for p in programs)
-        worth = [self.seen.earned[s] / max(1, self.seen.offered[s]) for s in range(int(SECONDS) - 4)]
+        worth = [self.result.earned[s] / max(1, self.result.offered[s]) for s in range(int(SECONDS) - 4)]
         return {
             "worth": worth,
             "recover_s": recovery_seconds(worth, OUTAGE_START_SECONDS, OUTAGE_SECONDS),
             "lives": lives,
-            "amplification": round(self.seen.tries / len(self.births), 2),
+            "amplification": round(self.result.tries / len(self.births), 2),
             "oddaja_twice": sum(p.twice for p in self.places),
-            "late": self.seen.late,
-            "unanswered": self.seen.unanswered,
-            "told": self.seen.told,
+            "late": self.result.late,
+            "unanswered": self.result.unanswered,
+            "told": self.result.told,
         }
 
 
-def play(job: tuple[str, int]) -> dict[str, Any]:
-    return asyncio.run(Play(*job).run())
+def run_policy(job: tuple[str, int]) -> dict[str, Any]:
+    """Run the scenario with a policy and a seed."""
+    return asyncio.run(StormScenario(*job).run())
 
 
 def run(seed: int) -> tuple[list[list[str]], dict[str, Any], dict[str, Any]]:
-    """The table, the figures, and the worth by second, with the damping and without."""
+    """Return the table, the figures, and the worth by second, with retry-storm control and without."""
     from concurrent.futures import ProcessPoolExecutor
 
     with ProcessPoolExecutor(2) as pool:
-        seen = dict(zip(("storm", "off"), pool.map(play, [("storm", seed), ("off", seed)])))
+        seen = dict(zip(("storm", "off"), pool.map(run_policy, [("storm", seed), ("off", seed)])))
     rows = [
         ["policy", "recovered s", "kept out", "kept after", "tries", "told", "twice", "late", "unanswered"]
     ]
--- a/saltcart/lab/subsets.py
+++ b/saltcart/lab/subsets.py
@@ -1,8 +1,9 @@
-"""Subsets of upstreams in the model: how evenly many instances' choices add up as the fleet changes.
+"""Experiment: subsets of upstreams in a model of many instances, as the fleet changes.
 
-``kept`` is ours: a table of classes that is followed.  ``random`` draws a subset for each instance,
-``rounds`` is the published deterministic subsetting by shuffled rounds over the sorted names,
-``rendezvous`` takes the highest digests of each pair, and ``all`` connects everybody to everything.
+The policies: ``kept`` is that of the service, an assignment table that changes as little as possible.
+``random`` draws a subset for each instance, ``rounds`` is the published deterministic subsetting by shuffled
+rounds over the sorted names, ``rendezvous`` takes the lowest digests of each pair, and ``all`` connects each
+instance to all upstreams.
 """
 
 from __future__ import annotations
@@ -24,30 +25,37 @@
 
 
 class FleetState(NamedTuple):
+    """The instances and the upstreams at one time."""
+
     instances: tuple[str, ...]
     upstreams: tuple[str, ...]
 
 
 class SubsetPolicy:
-    """One way of choosing; ``links`` is asked after each change."""
+    """A policy that assigns upstreams to instances; ``links`` is called after each change of the fleet."""
 
     def __init__(self, classes: int, seed: int) -> None:
         self.classes, self.seed = classes, seed
 
     def links(self, state: FleetState) -> Subsets:
+        """Return the subset of each instance."""
         raise NotImplementedError
 
     def size(self, state: FleetState) -> int:
+        """Return the number of upstreams of a subset."""
         return max(1, round(len(state.upstreams) / self.classes))
 
 
 class AssignmentTablePolicy(SubsetPolicy):
+    """The service's policy: tables of instances and upstreams that change as little as possible."""
+
     def __init__(self, classes: int, seed: int) -> None:
         super().__init__(classes, seed)
         self.upstreams: dict[str, int] = {}
         self.instances: dict[str, int] = {}
 
     def links(self, state: FleetState) -> Subsets:
+        """Update the tables, and return the subset of each instance."""
         self.upstreams = next_assignment(self.upstreams, state.upstreams, self.classes)
         self.instances = next_assignment(self.instances, state.instances, self.classes)
         parts = [frozenset(u for u, c in self.upstreams.items() if c == n) for n in range(self.classes)]
@@ -55,18 +63,22 @@
 
 
 class RandomPolicy(SubsetPolicy):
+    """Each instance draws a subset by its own name."""
+
     def links(self, state: FleetState) -> Subsets:
+        """Return the subset of each instance."""
         size, out = self.size(state), {}
         for name in state.instances:
-            luck = random.Random(f"{self.seed} {name}")  # the same for a name as long as the list is the same
-            out[name] = frozenset(luck.sample(state.upstreams, min(size, len(state.upstreams))))
+            rng = random.Random(f"{self.seed} {name}")  # the same for a name as long as the list is the same
+            out[name] = frozenset(rng.sample(state.upstreams, min(size, len(state.upstreams))))
         return out
 
 
 class ShuffledRoundsPolicy(SubsetPolicy):
-    """The client's number among the sorted names gives the round and the part of its shuffled list."""
+    """An instance's position among the sorted names gives the round and the part of its shuffled list."""
 
     def links(self, state: FleetState) -> Subsets:
+        """Return the subset of each instance."""
         size, ups, out = self.size(state), sorted(state.upstreams), {}
         parts = max(1, len(ups) // size)
         shuffled: dict[int, list[str]] = {}
@@ -81,7 +93,10 @@
 
 
 class RendezvousPolicy(SubsetPolicy):
+    """Each instance takes the upstreams with the lowest digests of the pair of names."""
+
     def links(self, state: FleetState) -> Subsets:
+        """Return the subset of each instance."""
         size, salts = self.size(state), {u: digest(u) for u in state.upstreams}
         return {
             i: frozenset(sorted(state.upstreams, key=lambda u: digest(i, salts[u]))[:size])
@@ -90,7 +105,10 @@
 
 
 class FullMeshPolicy(SubsetPolicy):
+    """Each instance connects to all upstreams."""
+
     def links(self, state: FleetState) -> Subsets:
+        """Return the subset of each instance."""
         return dict.fromkeys(state.instances, frozenset(state.upstreams))
 
 
@@ -103,7 +121,8 @@
 }
 
 
-def clients(links: Subsets, state: FleetState) -> Counter[str]:
+def count_clients(links: Subsets, state: FleetState) -> Counter[str]:
+    """Return the number of instances connected to each upstream."""
     out = Counter[str](dict.fromkeys(state.upstreams, 0))
     for ups in links.values():
         out.update(ups)
@@ -125,20 +144,20 @@
     return len(new) * way.size(after) + came * mean + max(0, lost - shrunk)
 
 
-def scenarios(quick: bool, luck: random.Random) -> list[tuple[str, list[FleetState]]]:
+def scenarios(quick: bool, rng: random.Random) -> list[tuple[str, list[FleetState]]]:
     """The days: each a list of states, one after the other."""
     small = tuple(f"u{n}" for n in range(40))
-    grow = [tuple(f"i{luck.getrandbits(40):010x}" for _ in range(200))]
+    grow = [tuple(f"i{rng.getrandbits(40):010x}" for _ in range(200))]
     up = [FleetState(grow[0][:n], small) for n in range(10, 201, 5 if quick else 1)]
     count, ups = (400, 120) if quick else (2_000, 500)
-    many = tuple(f"i{luck.getrandbits(40):010x}" for _ in range(count))
-    wide = tuple(f"u{luck.getrandbits(40):010x}" for _ in range(ups))
+    many = tuple(f"i{rng.getrandbits(40):010x}" for _ in range(count))
+    wide = tuple(f"u{rng.getrandbits(40):010x}" for _ in range(ups))
     whole = FleetState(many, wide)
     single = [whole]
     single += [FleetState(many, wide[n + 1 :]) for n in range(6)]
     single += [FleetState(many, wide[n:]) for n in range(5, -1, -1)]
     third = [whole, FleetState(many, wide[ups // 3 :]), whole]
-    restarted = many[: count // 2] + tuple(f"r{luck.getrandbits(40):010x}" for _ in range(count // 2))
+    restarted = many[: count // 2] + tuple(f"r{rng.getrandbits(40):010x}" for _ in range(count // 2))
     restart = [whole, FleetState(many[: count // 2], wide), FleetState(restarted, wide)]
     return [
         ("grow and shrink", up + up[-2::-1]),
@@ -157,7 +176,7 @@
         begun = time.process_time()
         now = way.links(state)
         slowest = max(slowest, time.process_time() - begun)
-        counts = clients(now, state)
+        counts = count_clients(now, state)
         spread = max(spread, max(counts.values()) / max(1e-9, min(counts.values())))
         if n:
             moved += sum(len(ups - links.get(i, frozenset())) for i, ups in now.items())
@@ -172,19 +191,19 @@
     ``choice``: ``two`` takes the less loaded of two by the load that all share, as it was a little before;
     ``any`` takes one of the subset.  ``slow``: one upstream takes twice as long, and is as busy with half.
     """
-    luck = random.Random(seed)
+    rng = random.Random(seed)
     ups = {i: sorted(links[i]) for i in state.instances}
-    weights = [luck.lognormvariate(0.0, 0.5) for _ in state.instances]
+    weights = [rng.lognormvariate(0.0, 0.5) for _ in state.instances]
     busy, seen = dict.fromkeys(state.upstreams, 0.0), dict.fromkeys(state.upstreams, 0.0)
     cost = dict.fromkeys(state.upstreams, 1.0)
     if slow:
         cost[state.upstreams[0]] = 2.0
-    for n, i in enumerate(luck.choices(state.instances, weights, k=300 * len(state.upstreams))):
+    for n, i in enumerate(rng.choices(state.instances, weights, k=300 * len(state.upstreams))):
         if n % len(state.instances) == 0:
             seen = dict(busy)  # what the last report told
-        one = luck.choice(ups[i])
+        one = rng.choice(ups[i])
         if choice == "two":
-            other = luck.choice(ups[i])
+            other = rng.choice(ups[i])
             one = min(one, other, key=seen.__getitem__)
         busy[one] += cost[one]
     return max(busy.values()) / (sum(busy.values()) / len(busy))
@@ -195,14 +214,14 @@
 
     Demand moves between instances all the time; each hears the sum half a second late.
     """
-    luck, count, limit, all_sent = random.Random(seed), 50 if quick else 200, 1000.0, 0
+    rng, count, limit, all_sent = random.Random(seed), 50 if quick else 200, 1000.0, 0
     shares = [SharedRateLimit(limit) for _ in range(count)]
-    demand = [luck.expovariate(1.0) for _ in range(count)]
+    demand = [rng.expovariate(1.0) for _ in range(count)]
     told, late, worst, sent = [0.0] * count, [0.0] * count, 0.0, 0
     for step in range(600 if quick else 3_000):
         now = step * 0.05
         if step % 100 == 0:
-            demand = [luck.expovariate(1.0) for _ in range(count)]
+            demand = [rng.expovariate(1.0) for _ in range(count)]
             total = sum(demand)
             demand = [1.3 * limit * d / total for d in demand]
         if step % 10 == 0:  # what was told half a second ago is what the sum has now
@@ -212,7 +231,7 @@
                     share.confirm(now, late[n], sum(late), count)
         for n, share in enumerate(shares):
             wants = demand[n] * 0.05
-            for _ in range(int(wants) + (luck.random() < wants % 1)):
+            for _ in range(int(wants) + (rng.random() < wants % 1)):
                 sent += share.take(now, count) if shared else 1
         if step % 20 == 19:
             worst, all_sent = max(worst, sent / limit - 1), all_sent + sent
@@ -225,7 +244,7 @@
 
     Each probes once a second and retries after a failure that all see at once.
     """
-    luck, ticks = random.Random(seed), Counter[int]()
+    rng, ticks = random.Random(seed), Counter[int]()
     for n in range(count):
         if kind == "turns":
             at, retry = next_staggered_time(100.0, 1.0, n), StaggeredBackoff(0.5, 8.0)
@@ -233,16 +252,16 @@
         elif kind == "fixed":
             moments = [100.0 + k for k in range(3)] + [1100.5]
         else:
-            moments = [100.0 + luck.random() + k for k in range(3)] + [1100.0 + 0.5 * luck.random()]
+            moments = [100.0 + rng.random() + k for k in range(3)] + [1100.0 + 0.5 * rng.random()]
         ticks.update(int(m * 100) for m in moments)
     return max(ticks.values()) / count
 
 
 def run(quick: bool, seed: int) -> tuple[list[list[str]], dict[str, Any]]:
-    """The model beside the processes, which are in real time and need little."""
+    """Run the model while the processes of the rig run in real time, and return one table and its figures."""
     with ProcessPoolExecutor(1) as real:
         started = real.submit(rig.run_scenario, seed)
-        rows, figures = modelled(quick, seed)
+        rows, figures = run_model(quick, seed)
         told = started.result()
     for name, spread, anew, churn in told.steps:
         rows.append(["processes: " + name, "kept", f"{spread:.3f}", f"{churn:.2f}", f"{anew} anew"])
@@ -257,10 +276,11 @@
     }
 
 
-def modelled(quick: bool, seed: int) -> tuple[list[list[str]], dict[str, Any]]:
-    luck, worst = random.Random(seed), dict[str, list[float]]()
+def run_model(quick: bool, seed: int) -> tuple[list[list[str]], dict[str, Any]]:
+    """Return the model's table and figures."""
+    rng, worst = random.Random(seed), dict[str, list[float]]()
     rows = [["day", "way", "spread", "churn", "ms"]]
-    for name, states in scenarios(quick, luck):
+    for name, states in scenarios(quick, rng):
         classes = 2 if name == "grow and shrink" else max(2, len(states[0].upstreams) // SUBSET)
         for way, kind in POLICIES.items():
             spread, churn, slow = measure_scenario(kind(classes, seed), states)
