--- a/saltcart/lab/storm_sockets.py
+++ b/saltcart/lab/storm_sockets.py
@@ -67,7 +67,7 @@
 
 
 @dataclass
-class StormResult:
+class ClientResult:
     """What the clients of one policy experienced; worth is by the second in which a request began."""
 
     offered: Counter[int] = field(default_factory=Counter)
@@ -92,7 +92,7 @@
         self.obeys = [self.rng.random() < 0.5 for _ in self.births]
         self.orders = [self.rng.sample(range(NODES), NODES) for _ in self.births]
         self.places = [WorkerStandIn(self.works) for _ in range(NODES)]
-        self.result = StormResult()
+        self.result = ClientResult()
         self.serial = 0
 
     def program_factory(self, stand_ins: list[AjpStandIn]) -> Any:
