--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -147,11 +147,18 @@
 
 
 def call(
-    address: str, method: str, path: str, headers: dict[str, str], body: bytes, timeout: float = 10.0
+    address: str,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes,
+    timeout: float = 10.0,
+    source: str = "127.0.0.1",
 ) -> tuple[int, dict[str, str], bytes]:
     """Send one HTTP request on a connection of its own and return status, headers and body.
 
-    A status of 0 means that the connection ended without a whole answer.
+    A status of 0 means that the connection ended without a whole answer.  The source is the loopback address
+    from which the connection comes.
     """
     host, _, port = address.rpartition(":")
     lines = [f"{method} {path} HTTP/1.1", "Host: backend.local"]
@@ -159,7 +166,7 @@
     lines += [f"Content-Length: {len(body)}", "", ""]
     data = b""
     try:
-        with socket.create_connection((host, int(port)), timeout) as connection:
+        with socket.create_connection((host, int(port)), timeout, (source, 0)) as connection:
             connection.settimeout(timeout)
             connection.sendall("\r\n".join(lines).encode() + body)
             while True:
