--- a/review/common-2/platform_standins.py
+++ b/review/common-2/platform_standins.py
@@ -10,11 +10,13 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from harness import Record
 
+SERVERS: list[asyncio.Server] = []  # keeps the listening sockets open
+
 
 @dataclass
 class Request:
@@ -27,10 +29,26 @@
     status: int | None = None
 
 
+@dataclass
+class PoolAddress:
+    """An address of the worker pool: it numbers its own notices and tells only of runs begun through it."""
+
+    notices: list[bytes] = field(default_factory=list)
+    link: asyncio.StreamWriter | None = None
+
+    def notice(self, kind: bytes, fields: bytes, body: bytes = b"") -> None:
+        """Send a notice under the next number, and keep it for a new link."""
+        number = len(self.notices) + 1
+        self.notices.append(b"%b %d %b %d\r\n%b\r\n" % (kind, number, fields, len(body), body))
+        if self.link is not None:
+            self.link.write(self.notices[-1])
+
+
 @dataclass
 class Run:
     """A run in the worker pool."""
 
+    pool: PoolAddress
     request: Request
     started_at: float
     calls_left: int
@@ -62,8 +80,6 @@
         self.call_seconds, self.linger_seconds = call_seconds, linger_seconds
         self.requests: dict[str, Request] = {}
         self.runs: dict[str, Run] = {}
-        self.notices: list[bytes] = []
-        self.link: asyncio.StreamWriter | None = None
         self.started_at = time.monotonic()
         self.call_spans: list[list[float]] = []  # when each call came into the dependency's hands, and left
         self.open_calls: dict[str, tuple[list[float], asyncio.Event]] = {}
@@ -71,26 +87,38 @@
 
     async def open(self) -> None:
         """Listen as worker pool and as index."""
-        for name, serve in (("pool", self._serve_pool), ("index", self._serve_index)):
-            server = await asyncio.start_server(serve, "127.0.0.1", 0)
-            setattr(self, name, "{}:{}".format(*server.sockets[0].getsockname()))
+        self.pool = await self.open_pool()
+        self.index = await self._listen(self._serve_index)
+
+    async def open_pool(self) -> str:
+        """Listen at one more address of the worker pool, and return it."""
+        pool = PoolAddress()
+        return await self._listen(lambda reader, writer: self._serve_pool(pool, reader, writer))
+
+    @staticmethod
+    async def _listen(serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]) -> str:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        SERVERS.append(server)
+        return "{}:{}".format(*server.sockets[0].getsockname())
 
     # ---- worker pool --------------------------------------------------------------------------
 
-    async def _serve_pool(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve_pool(
+        self, pool: PoolAddress, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while line := await reader.readline():
                 words = line.rstrip().split(b" ")
                 if words[0] in (b"spawn", b"supply"):
                     await reader.readexactly(int(words[-1]) + 2)
-                self._command(words, writer)
+                self._command(pool, words, writer)
         writer.close()
 
-    def _command(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+    def _command(self, pool: PoolAddress, words: list[bytes], writer: asyncio.StreamWriter) -> None:
         if words[0] == b"bind":
-            self.link = writer
+            pool.link = writer
             writer.write(b"bound LOADED %d\r\n" % ((time.monotonic() - self.started_at) * 1000 + 60_000))
-            writer.write(b"".join(self.notices[int(words[1]) :]))
+            writer.write(b"".join(pool.notices[int(words[1]) :]))
             return
         if words[0] == b"poll":
             running = sum(not run.is_at_call for run in self.runs.values())
@@ -102,10 +130,12 @@
             writer.write(b"unknown %b %b\r\n" % (words[0], words[1]))
         elif words[0] == b"spawn" and run is None:
             if request.is_over:
-                self._notice(b"finished", b"%b NOOP 0" % words[1])
+                pool.notice(b"finished", b"%b NOOP 0" % words[1])
                 return
             self.record(f"pool runs id={request_id} class={request.class_name}")
-            run = self.runs[request_id] = Run(request, time.monotonic(), self.calls_of(request.class_name))
+            run = self.runs[request_id] = Run(
+                pool, request, time.monotonic(), self.calls_of(request.class_name)
+            )
             run.task = asyncio.create_task(self._run(run))
         elif words[0] == b"suspend" and run is not None and not run.is_at_call and request.is_over:
             assert run.task is not None
@@ -125,7 +155,7 @@
             if not request.is_over:
                 run.is_at_call = True
                 run.reply.clear()
-                self._notice(
+                run.pool.notice(
                     b"blocked", request.request_id.encode(), b"call of " + request.request_id.encode()
                 )
             while run.is_at_call and not request.is_over:
@@ -142,13 +172,7 @@
         milliseconds = (time.monotonic() - run.started_at) * 1000
         self.record(f"pool ends id={run.request.request_id} {end.decode()}")
         fields = b"%b %b %d" % (run.request.request_id.encode(), end, milliseconds)
-        self._notice(b"finished", fields, result)
-
-    def _notice(self, kind: bytes, fields: bytes, body: bytes = b"") -> None:
-        number = len(self.notices) + 1
-        self.notices.append(b"%b %d %b %d\r\n%b\r\n" % (kind, number, fields, len(body), body))
-        if self.link is not None:
-            self.link.write(self.notices[-1])
+        run.pool.notice(b"finished", fields, result)
 
     # ---- index --------------------------------------------------------------------------------
 
