--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,8 @@
-"""A new version takes over under load: how many calls does the shared dependency have in its hands?"""
+"""drain-on at the new process of an upgrade whose worker pool comes up late: what do health checks get?"""
 
 from __future__ import annotations
 
 import asyncio
-import random
 import signal
 import socket
 import sys
@@ -13,122 +12,94 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
-from harness import (  # noqa: E402
-    TROUBLE,
-    CannotRunError,
-    Record,
-    Service,
-    base_config,
-    new_id,
-    play,
-    request_headers,
-)
-from platform_standins import Platform, Request, send  # noqa: E402
-
-SHARE, SPAN_SECONDS, LINGER_SECONDS = 2.5, 5.0, 0.2
-CALL_SECONDS = 0.5
-REQUESTS_PER_SECOND, BUDGET_MS = 8.0, 3900
-BEFORE_SECONDS, AFTER_SECONDS = 12.0, 10.0
-READY_SECONDS, LONGEST_SECONDS, EXTRA_SECONDS = 6.0, 3.0, 0.7
-
-
-def config(platform: Platform, pool: str, listen: str, control: str) -> dict:
-    """Return the configuration of a process of the only service."""
-    conf = base_config(pool=pool, index=platform.index, listen=listen, control=control)
-    conf["settings"]["services"] = [
-        {**spec, "onTime": spec["deadline"] - 0.4} for spec in conf["settings"]["services"]
-    ]
-    conf["settings"]["extra"] |= {
-        "cores": 12,
-        "below": "shared",
-        "depShare": SHARE,
-        "shareSpan": SPAN_SECONDS,
-        "linger": LINGER_SECONDS,
-        "callsByClass": [True, True],
-        "classSkipWorth": [0.0, 0.0],
-    }
-    return conf
-
-
-async def says_yes(address: str) -> bool:
-    """Ask a process whether it can serve."""
+from harness import TROUBLE, CannotRunError, Record, Service, base_config, call, play  # noqa: E402
+
+POOL_LATE_SECONDS = 5.5  # after its process was started; the new process is given 6 s to say yes
+ALLOWED_SECONDS = 4.0  # after drain-on, for a good answer to a health check
+WATCHED_SECONDS = 8.0
+READY_SECONDS, KILL_SECONDS = 6.0, 3.7
+SERVERS: list[asyncio.Server] = []
+
+
+async def serve_pool(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, up_at: float) -> None:
+    """Serve a link to a worker pool that comes up at a time and gets no work."""
+    while words := (await reader.readline()).split():
+        if words[0] == b"bind":
+            await asyncio.sleep(max(0.0, up_at - time.monotonic()))
+            writer.write(b"bound LOADED %d\r\n" % max(0.0, (time.monotonic() - up_at) * 1000))
+        elif words[0] == b"poll":
+            writer.write(b"polled %b 0.10 0 0.10 10\r\n" % words[1])
+    writer.close()
+
+
+async def open_pool(late_seconds: float) -> str:
+    """Listen as a worker pool that comes up so many seconds from now, and return the address."""
+    up_at = time.monotonic() + late_seconds
+    server = await asyncio.start_server(lambda r, w: serve_pool(r, w, up_at), "127.0.0.1", 0)
+    SERVERS.append(server)
+    return "{}:{}".format(*server.sockets[0].getsockname())
+
+
+async def operate(address: str, line: bytes) -> bytes:
+    """Make an operator's call and return the first line of the answer."""
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write(b"check\n")
+    writer.write(line + b"\n")
     answer = await reader.readline()
     writer.close()
-    return answer.startswith(b"OK")
+    return answer.strip()
 
 
 async def play_day(record: Record, folder: Path, started: list[Service]) -> list[str]:
-    """Send requests before, during and after the upgrade."""
-    platform = Platform(
-        record,
-        work_seconds=0.02,
-        calls_of=lambda class_name: 1,
-        call_seconds=lambda: CALL_SECONDS,
-        linger_seconds=LINGER_SECONDS,
-    )
-    await platform.open()
+    """Call drain-on, during an upgrade or without one, and check the health of the service for 8 s."""
+    broken = list[str]()
     with socket.create_server(("127.0.0.1", 0), backlog=512) as listening:
         listen = "{}:{}".format(*listening.getsockname())
-        environment = {"BALANCER_LISTEN_FD": str(listening.fileno())}
 
-        async def start(name: str, pool: str) -> Service:
-            conf = config(platform, pool, listen, "127.0.0.1:0")
+        async def start(name: str, pool: str) -> tuple[Service, str]:
+            conf = base_config(pool=pool, listen=listen, control="127.0.0.1:0")
+            environment = {"BALANCER_LISTEN_FD": str(listening.fileno())}
             service = Service(record, folder, conf, "", name, environment, (listening.fileno(),))
             started.append(service)
-            control = await asyncio.to_thread(service.address, "control")
-            end = time.monotonic() + READY_SECONDS
-            while not await says_yes(control):
-                if time.monotonic() > end:
-                    raise CannotRunError(f"{name} is not ready")
-                await asyncio.sleep(0.05)
-            record(f"{name} says yes")
-            return service
-
-        old = await start("old", platform.pool)
-
-        async def upgrade() -> None:
-            await asyncio.sleep(BEFORE_SECONDS)
-            if not TROUBLE:
-                return
-            await start("new", await platform.open_pool())
-            old.signal(signal.SIGTERM)
-            status = await asyncio.to_thread(old.wait_end, LONGEST_SECONDS + EXTRA_SECONDS)
-            record(
-                f"the old process has ended with {status}" if status is not None else "the old one is killed"
-            )
-            old.stop()
-
-        upgrading = asyncio.create_task(upgrade())
-        rng, tasks, broken, worst = random.Random(10), set[asyncio.Task](), list[str](), 0.0
+            return service, await asyncio.to_thread(service.address, "control")
+
+        async def is_healthy() -> bool:
+            status, _, _ = await asyncio.to_thread(call, listen, "GET", "/ping", {}, b"")
+            return status == 200
+
+        old, control = await start("old", await open_pool(0.0))
+        await asyncio.to_thread(old.address, "http")
+        end = time.monotonic() + 10
+        while not await is_healthy():
+            if time.monotonic() > end:
+                raise CannotRunError("the service is not healthy before the call")
+            await asyncio.sleep(0.05)
         begun = time.monotonic()
-        while time.monotonic() < begun + BEFORE_SECONDS + AFTER_SECONDS:
-            class_name = rng.choice(["pregled-statusa", "oddaja"])
-            request_id = new_id()
-            key = new_id() + new_id() if class_name == "oddaja" else None
-            fields = request_headers(request_id, "jadran-spedicija", key, BUDGET_MS)
-            request = Request(request_id, class_name, f"body of {request_id}".encode())
-            task = asyncio.create_task(send(platform, listen, request, fields, BUDGET_MS / 1000 + 0.2))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-            await asyncio.sleep(rng.expovariate(REQUESTS_PER_SECOND))
-            mean = platform.mean_calls(time.monotonic(), SPAN_SECONDS)
-            if mean > worst + 0.2:
-                worst = mean
-                record(f"mean number of calls in the dependency's hands over {SPAN_SECONDS:g} s: {mean:.2f}")
-            if mean > SHARE and not broken:
-                broken.append(f"{mean:.2f} calls in the mean of {SPAN_SECONDS:g} s; the share is {SHARE:g}")
-        await upgrading
-        served = sum(request.status == 200 for request in platform.requests.values())
-        record(
-            f"{len(platform.requests)} requests, {served} served, {len(platform.call_spans)} calls, "
-            f"worst mean {worst:.2f}"
-        )
-        if not served:
-            raise CannotRunError("nothing was served")
-        return broken
+        if TROUBLE:
+            record("an upgrade begins: the new process is started")
+            _, control = await start("new", await open_pool(POOL_LATE_SECONDS))
+        answer = await operate(control, b"drain-on")
+        called, yes_after = time.monotonic(), None
+        record(f"operator: drain-on at {control} is answered {answer!r}")
+        if not answer.startswith(b"OK"):
+            raise CannotRunError("the call was not accepted")
+        while (age := time.monotonic() - called) < WATCHED_SECONDS:
+            healthy = await is_healthy()
+            record(f"health check {age:.2f} s after the call: {'good' if healthy else 'bad'}")
+            if healthy and age > ALLOWED_SECONDS:
+                broken.append(f"a good answer to a health check {age:.2f} s after drain-on")
+            if TROUBLE and yes_after is None and (await operate(control, b"check")).startswith(b"OK"):
+                yes_after = time.monotonic() - begun
+                record(f"the new process says yes {yes_after:.2f} s after its start")
+                if yes_after > READY_SECONDS:
+                    raise CannotRunError("the new process was late")
+                old.signal(signal.SIGTERM)
+            if yes_after is not None and time.monotonic() > begun + yes_after + KILL_SECONDS:
+                old.stop()
+            await asyncio.sleep(0.1)
+        if TROUBLE and yes_after is None:
+            raise CannotRunError("the new process never said yes")
+    return broken
 
 
 def case(record: Record, folder: Path, started: list[Service]) -> list[str]:
