--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -140,9 +140,10 @@
         self.process.send_signal(number)
 
     def stop(self) -> None:
-        """Kill the process and whatever it started."""
-        with contextlib.suppress(ProcessLookupError):
-            os.killpg(self.process.pid, signal.SIGKILL)
+        """Kill the process, unless it has ended; its group has no other, as the command ends in an exec."""
+        if self.process.poll() is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.killpg(self.process.pid, signal.SIGKILL)
         self.process.wait()
 
 
