--- a/review/common-2/platform_standins.py
+++ b/review/common-2/platform_standins.py
@@ -26,6 +26,7 @@
     class_name: str
     body: bytes
     is_over: bool = False  # it has its answer, or its balancer has stopped waiting
+    written_at: float = float("inf")
     status: int | None = None
 
 
@@ -84,6 +85,7 @@
         self.call_spans: list[list[float]] = []  # when each call came into the dependency's hands, and left
         self.open_calls: dict[str, tuple[list[float], asyncio.Event]] = {}
         self.pool = self.index = ""
+        self.core_use = 1 / 6  # share of all cores that a run uses; less where it mostly waits for the disk
 
     async def open(self) -> None:
         """Listen as worker pool and as index."""
@@ -122,7 +124,8 @@
             return
         if words[0] == b"poll":
             running = sum(not run.is_at_call for run in self.runs.values())
-            writer.write(b"polled %b %.2f %d 0.30 20\r\n" % (words[1], min(1.0, running / 6), running))
+            busy = min(1.0, running * self.core_use)
+            writer.write(b"polled %b %.2f %d 0.30 20\r\n" % (words[1], busy, running))
             return
         request_id = words[1].decode()
         request, run = self.requests.get(request_id), self.runs.get(request_id)
@@ -244,6 +247,7 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             platform.record(f"balancer sends id={request.request_id} {request.class_name} {fields}")
             writer.write("\r\n".join(lines).encode() + request.body)
+            request.written_at = time.monotonic()
             head = await reader.readuntil(b"\r\n\r\n")
             request.status = int(head.split()[1])
     except (TimeoutError, OSError, asyncio.IncompleteReadError) as error:
