Composition: JSON bodies are embedded byte by byte, so that numbers keep their digits

Callers saw: 200, and another number.

Cause: body_as_json parsed each body with orjson and wrote the parsed value; integers of more than 64 bits and long decimals became doubles, and of a repeated member only the last one was kept. 1e400 turned a document into a string.

The fronts, AJP and the index count bytes and parse no body.

Change: parsing only tells whether a body is JSON; its own bytes are embedded. Python's parser, with numbers left as text, decides about what orjson refuses.

--- a/saltcart/composition/bodies.py
+++ b/saltcart/composition/bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import json
 from typing import Any
 
 import orjson
@@ -11,12 +12,35 @@
 from saltcart.composition.plan import CallSpec
 
 
-def body_as_json(body: bytes) -> Any:
-    """Return a body as a JSON value: parsed if it is JSON, else as text, else in base 64."""
+def is_json(body: bytes) -> bool:
+    """Return whether a body is a JSON text by RFC 8259, nested at most about 1,000 levels deep."""
     try:
-        return orjson.loads(body)
+        orjson.loads(body)
     except orjson.JSONDecodeError:
-        pass
+        return _is_json_beyond_orjson(body)
+    return True
+
+
+def _is_json_beyond_orjson(body: bytes) -> bool:
+    """Accept what RFC 8259 allows and orjson rejects: numbers of any size, and lone surrogate escapes."""
+    try:
+        json.loads(body.decode(), parse_int=str, parse_float=str, parse_constant=_reject_constant)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
+def _reject_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a JSON value")
+
+
+def body_as_json(body: bytes) -> Any:
+    """Return a body as a value for ``orjson.dumps``: JSON byte by byte, else as text, else in base 64.
+
+    JSON is embedded and not parsed, because parsing loses digits of long numbers and repeated members.
+    """
+    if is_json(body):
+        return orjson.Fragment(body)
     try:
         return body.decode()
     except UnicodeDecodeError:
