Retry storms: a further try of a request that has run is read, not refused

Cause: FrontConnection.admit_request asked the token bucket on the first bytes and rejected unread; the table of keys is asked only for a request that was read.

Change: front/admission.py looks a refused request up (core/run_lookup.py): by its path whether its class has keys, then by the key in its head whether it has run or may have. If so it is read. Reads are turned back by their first line, everything by its first bytes while no key is kept. The laboratory's model does the same.

--- a/saltcart/core/idempotency_keys.py
+++ b/saltcart/core/idempotency_keys.py
@@ -38,6 +38,11 @@
     previous_window: KeyRecord | None = None  # attempts read late may belong to it
     counted_bytes: int = 0  # included in ``KeyTable.used_bytes``
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the key has a run, or may have: another process reports only the ends of its runs."""
+        return self.has_run or (self.holder_number < 0 and not self.is_finished)
+
     def byte_size(self) -> int:
         """Return the memory that this record uses, or may use once its result is known."""
         result_bytes = len(self.result or b"") if self.is_finished else MAX_RESULT_BYTES
--- a/saltcart/core/ports.py
+++ b/saltcart/core/ports.py
@@ -158,6 +158,9 @@
     def admit_connection(self, now: float, source: int) -> ConnectionAdmission:
         """Decide whether to read a connection on which a request has arrived."""
 
+    def admit_retry_of_run(self, now: float) -> None:
+        """Record that a refused request is read all the same, because an earlier attempt of it has run."""
+
     def reject_unread(self, now: float, source: int) -> RetryAdvice:
         """Record a connection whose request was rejected unread, and return the advice to its client."""
 
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -22,6 +22,7 @@
 from saltcart.core.request_counters import RequestCounters
 from saltcart.core.request_intake import RequestIntake
 from saltcart.core.request_lifecycle import RequestLifecycle
+from saltcart.core.run_lookup import RunLookup
 from saltcart.core.run_tracker import RunTracker
 from saltcart.core.timers import Timers
 from saltcart.decision.controller import Controller
@@ -94,6 +95,7 @@
         self.intake = RequestIntake(
             settings, clock, timers, self.drain, self.lifecycle, self._request_overdue
         )
+        self.run_lookup = RunLookup(settings.classes, clock, self.keys, self.lifecycle.attempts)
         self.executor = ActionExecutor(
             clock, timers, ports, self.drain, self.lifecycle, log, self._call_overdue
         )
--- a/saltcart/front/ajp.py
+++ b/saltcart/front/ajp.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from saltcart.core.service import Service
+from saltcart.front.admission import RequestHead
 from saltcart.front.connection import FrontConnection, HeaderFields
 from saltcart.front.fields import MAX_BODY_BYTES
 from saltcart.net.listener import Listener
@@ -31,6 +32,11 @@
             return True
         return self.buffer.peek(1, 4) == bytes([ajp.CPING]) if len(self.buffer) > 4 else None
 
+    def peek_head(self) -> RequestHead | None:
+        """Return the head of the request that is arriving, unread; None while it is incomplete."""
+        request = self.parser.peek_request(self.buffer)
+        return None if request is None else RequestHead(request.uri.partition(b"?")[0], request.headers)
+
     def read_message(self) -> bool:
         """Read one message and respond to it or dispatch it; return False while none is complete."""
         message = self.parser.next(self.buffer)
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -8,6 +8,7 @@
 from saltcart.core.messages import FinalResponse, InvalidRequestError, ResponseStatus
 from saltcart.core.service import Service
 from saltcart.decision.connection_admission import ConnectionAdmission
+from saltcart.front.admission import RequestAdmission, RequestHead
 from saltcart.front.fields import parse_request
 from saltcart.net.listener import Listener, ServerConnection
 from saltcart.wire.errors import MalformedMessageError
@@ -48,41 +49,44 @@
         self.has_open_request = False  # a complete request was read and has no response yet
         # A request is being passed to the core; after an immediate response, reading continues at once.
         self.is_submitting = False
-        # For retry-storm control: the client's source, whether the next request was admitted, and whether it
-        # ranks after others.
-        self.source = 0
-        self.is_admitted = self.is_admitted_last = False
+        self.admission = RequestAdmission(service)
 
     def is_health_check(self) -> bool | None:
         """Return whether the first bytes are those of a health check; None while there are too few."""
         raise NotImplementedError
 
+    def peek_head(self) -> RequestHead | None:
+        """Return the head of the request that is arriving, and consume nothing; None while it is incomplete.
+
+        Raises:
+            MalformedMessageError: The head is malformed.
+        """
+        raise NotImplementedError
+
+    def peek_path(self) -> bytes | None:
+        """Return the path of the request that is arriving; None while too few bytes have arrived.
+
+        Raises:
+            MalformedMessageError: The head is malformed.
+        """
+        head = self.peek_head()
+        return None if head is None else head.path
+
     def opened(self) -> None:
         """Determine the client's source when the connection opens."""
         super().opened()
-        if self.service.ports.storm_control is not None and self.transport is not None:
+        if self.transport is not None:
             peer = self.transport.get_extra_info("peername")
-            self.source = self.service.ports.storm_control.source_of(peer[0] if peer else "")
+            self.admission.set_client(peer[0] if peer else "")
 
     def admit_request(self) -> bool:
         """Return whether the request that has begun to arrive may be read; if not, reject it unread."""
-        storm_control = self.service.ports.storm_control
-        if storm_control is None or self.is_admitted or not len(self.buffer):
+        if not len(self.buffer):
             return True
-        is_check = self.is_health_check()
-        if is_check is None:
-            return False
-        now = self.service.clock.read_seconds()
-        admission = ConnectionAdmission.READ if is_check else storm_control.admit_connection(now, self.source)
-        if admission is ConnectionAdmission.REFUSE:
-            advice = storm_control.reject_unread(now, self.source)
-            response = FinalResponse(
-                ResponseStatus.REJECTED, retry_after_seconds=advice.retry_after, is_final=advice.is_final
-            )
-            self.reject_and_end(503, b"", response_headers(response))
-            return False
-        self.is_admitted, self.is_admitted_last = True, admission is ConnectionAdmission.READ_LAST
-        return True
+        decision = self.admission.decide(self)
+        if decision is ConnectionAdmission.REFUSE:
+            self.reject_and_end(503, b"", response_headers(self.admission.reject()))
+        return decision in (ConnectionAdmission.READ, ConnectionAdmission.READ_LAST)
 
     def read_message(self) -> bool:
         """Read one message and handle it; return False while none is complete."""
@@ -201,7 +205,7 @@
     def respond(self, status: int, body: bytes = b"", fields: HeaderFields = ()) -> None:
         """Send the response to a request, and end the connection unless it is kept alive."""
         self.write_response(status, body, fields)
-        self.is_admitted = False
+        self.admission.next_request()
         self.mark_idle()
         if not self.keep_alive:
             self.half_close()
@@ -220,7 +224,7 @@
         else:
             try:
                 request = parse_request(path, headers, body, self.service)
-                request.admitted_last = self.is_admitted_last
+                request.admitted_last = self.admission.is_last
                 self.has_open_request = self.is_submitting = True
                 number = self.service.submit(request, self.send_final_response)
             except InvalidRequestError as error:
@@ -234,10 +238,7 @@
     def send_final_response(self, response: FinalResponse) -> None:
         """Send the core's response to the open request, and continue with the next one."""
         self.has_open_request, self.request_number = False, 0
-        if response.retry_after_seconds > 0 and self.service.ports.storm_control is not None:
-            self.service.ports.storm_control.record_advice(
-                self.service.clock.read_seconds(), self.source, response.retry_after_seconds
-            )
+        self.admission.record_advice(response.retry_after_seconds)
         if self.listener.ends_connections or self.service.idle_timeout < MIN_IDLE_TIMEOUT_SECONDS:
             self.keep_alive = False
         self.respond(STATUS_CODES[response.status], response.body, response_headers(response))
--- a/saltcart/front/fields.py
+++ b/saltcart/front/fields.py
@@ -69,6 +69,16 @@
         return text.decode("latin-1")
 
 
+def parse_class_name(path: bytes) -> str:
+    """Return the name of the class that a path names by its last segment, percent-encoded.
+
+    Raises:
+        InvalidRequestError: The name is too long.
+    """
+    last_segment = path.partition(b"?")[0].rpartition(b"/")[2]
+    return decode_name(PERCENT_ESCAPE.sub(lambda found: bytes([int(found[1], 16)]), last_segment))
+
+
 def parse_request(
     path: bytes, headers: Mapping[bytes, bytes], body: bytes, service: Service
 ) -> InboundRequest:
@@ -78,7 +88,7 @@
     that no valid request has.
 
     Args:
-        path: The request's path; its last segment is the class, percent-encoded.
+        path: The request's path, which names its class.
         headers: The request's headers, by names in lower case.
         body: The request's body.
         service: The service whose clock and longest deadline apply.
@@ -91,8 +101,7 @@
     request_id = headers.get(b"request-id", b"")
     if not REQUEST_ID.match(request_id):
         raise InvalidRequestError("request-id is not 16 hex digits")
-    last_segment = path.partition(b"?")[0].rpartition(b"/")[2]
-    class_name = decode_name(PERCENT_ESCAPE.sub(lambda found: bytes([int(found[1], 16)]), last_segment))
+    class_name = parse_class_name(path)
     account = decode_name(headers.get(b"account", b""))
     key = headers.get(b"once-key")
     if key is not None and not IDEMPOTENCY_KEY.match(key):
--- a/saltcart/front/http.py
+++ b/saltcart/front/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from saltcart.core.service import Service
+from saltcart.front.admission import RequestHead
 from saltcart.front.connection import FrontConnection, HeaderFields
 from saltcart.front.fields import MAX_BODY_BYTES
 from saltcart.net.listener import Listener
@@ -31,6 +32,16 @@
             first_bytes == b"GET " if len(first_bytes) == 4 or not b"GET ".startswith(first_bytes) else None
         )
 
+    def peek_path(self) -> bytes | None:
+        """Return the path of the request that is arriving, once its first line has arrived."""
+        words = self.parser.peek_first_line(self.buffer)
+        return None if words is None else http1.path_of(words)
+
+    def peek_head(self) -> RequestHead | None:
+        """Return the head of the request that is arriving, unread; None while it is incomplete."""
+        head = self.parser.peek_head(self.buffer)
+        return None if head is None else RequestHead(http1.path_of(head.words), head.headers)
+
     def read_message(self) -> bool:
         """Read one request and dispatch it; return False while none is complete."""
         request = self.parser.next(self.buffer)
--- a/saltcart/lab/storm.py
+++ b/saltcart/lab/storm.py
@@ -266,7 +266,11 @@
             else self.storm_control.admit_connection(now, source)
         )
         request.admitted_last = admission is ConnectionAdmission.READ_LAST
-        if self.storm_control is not None and admission is ConnectionAdmission.REFUSE:
+        if (
+            self.storm_control is not None
+            and admission is ConnectionAdmission.REFUSE
+            and not self._admit_retry_of_run(self.storm_control, request)
+        ):
             rejection = self.storm_control.reject_unread(now, source)
             self.unread.append(UNREAD_REJECTION)
             fleet.receive_response(
@@ -282,6 +286,13 @@
             self.unread.append(request)
         self.start_work()
 
+    def _admit_retry_of_run(self, control: RetryStormController, request: SimulatedRequest) -> bool:
+        """Return whether a refused request is read all the same, because it has run here."""
+        if not self.service.run_lookup.may_have_run(self._build_inbound(request, b"")):
+            return False
+        control.admit_retry_of_run(self.fleet.events.now)
+        return True
+
     def _take_token(self, now: float) -> bool:
         rate = CORE_COUNT / (MEAN_WORK_SECONDS * (1 + READ_WORK_SHARE)) * self.speed_share()
         self.tokens = min(rate, self.tokens + (now - self.tokens_updated_at) * rate)
@@ -338,12 +349,20 @@
 
     def _submit(self, request: SimulatedRequest) -> None:
         """Pass an attempt that was read to the service's core, under a request id of its own."""
-        spec = CLASSES[request.class_index]
         request.attempt_count += 1
         request.request_id = b"%016x" % ((request.number << 12) + (request.attempt_count & 0xFFF))
+        request_id = request.request_id
+        self.service.submit(
+            self._build_inbound(request, request_id),
+            lambda response: self.fleet.receive_response(request, self, response, request_id),
+        )
+
+    def _build_inbound(self, request: SimulatedRequest, request_id: bytes) -> InboundRequest:
+        """Return a request as the service reads it."""
+        spec = CLASSES[request.class_index]
         keyed = spec.effect is Effect.IDEMPOTENT_BY_KEY
-        inbound_request = InboundRequest(
-            request.request_id,
+        return InboundRequest(
+            request_id,
             spec.name,
             request.tenant,
             self.fleet.attempt_started_at[request.number],
@@ -354,11 +373,6 @@
             admitted_last=request.admitted_last,
             body=b"%d" % request.number,
         )
-        request_id = request.request_id
-        self.service.submit(
-            inbound_request,
-            lambda response: self.fleet.receive_response(request, self, response, request_id),
-        )
 
     def _finish_run(self, core_generation: int, service: Service, request_id: bytes, duration: float) -> None:
         if not self._release_core(core_generation):
--- a/saltcart/retry_storm/admission_rate.py
+++ b/saltcart/retry_storm/admission_rate.py
@@ -88,6 +88,11 @@
         self.admitted_count += 1
         return True
 
+    def charge(self, now: float) -> None:
+        """Use up a token, if there is one, for a request that is read although it was not admitted."""
+        self._refill(now)
+        self.tokens = max(0.0, self.tokens - 1)
+
     def _refill(self, now: float) -> None:
         capacity = self.capacity(now)
         seconds = max(0.0, now - self.filled_at)
--- a/saltcart/retry_storm/controller.py
+++ b/saltcart/retry_storm/controller.py
@@ -108,6 +108,7 @@
         self.retry_count = 0
         self.reservation_count = 0
         self.schedule_full_count = 0
+        self.unread_count = 0  # requests that were rejected unread
         self.max_retries_per_request = 0  # by the count-min sketch
 
     def _retry_capacity(self, when: float) -> float:
@@ -143,6 +144,10 @@
             return ConnectionAdmission.REFUSE
         return ConnectionAdmission.READ_LAST if is_heavy else ConnectionAdmission.READ
 
+    def admit_retry_of_run(self, now: float) -> None:
+        """Record that a request is read although it was refused, because an earlier attempt of it has run."""
+        self.token_bucket.charge(now)
+
     def _sources_compete(self, now: float) -> bool:
         """Return whether admitting one source's request can keep out another source's.
 
@@ -231,6 +236,7 @@
 
         The source keeps its retry time until that time has come.
         """
+        self.unread_count += 1
         return self._advise(now, source, is_final=False)
 
     def source_of(self, address: str) -> int:
@@ -269,7 +275,7 @@
             ("storm.told", self.reservation_count),
             ("storm.calendar_full", self.schedule_full_count),
             ("storm.most_tries", self.max_retries_per_request),
-            ("storm.unread", self.token_bucket.rejected_count),
+            ("storm.unread", self.unread_count),
         ]
 
     def state(self, now: float) -> dict[str, object]:
--- a/saltcart/wire/ajp.py
+++ b/saltcart/wire/ajp.py
@@ -184,8 +184,8 @@
     return magic + encode_integer(len(payload)) + payload
 
 
-def take_packet(buffer: Buffer, magic: bytes) -> bytes | None:
-    """Consume the next packet and return its payload, or None while the packet is incomplete.
+def peek_packet(buffer: Buffer, magic: bytes) -> bytes | None:
+    """Return the payload of the next packet, which stays unread, or None while the packet is incomplete.
 
     Raises:
         MalformedMessageError: The packet starts with other bytes than ``magic``, or is too long.
@@ -198,8 +198,19 @@
         raise MalformedMessageError("packet header")
     if len(buffer) < HEADER_BYTES + length:
         return None
-    buffer.consume(HEADER_BYTES)
-    return buffer.take(length)
+    return buffer.peek(length, HEADER_BYTES)
+
+
+def take_packet(buffer: Buffer, magic: bytes) -> bytes | None:
+    """Consume the next packet and return its payload, or None while the packet is incomplete.
+
+    Raises:
+        MalformedMessageError: The packet starts with other bytes than ``magic``, or is too long.
+    """
+    payload = peek_packet(buffer, magic)
+    if payload is not None:
+        buffer.consume(HEADER_BYTES + len(payload))
+    return payload
 
 
 def encode_headers(headers: Iterable[tuple[bytes, bytes]], coded_names: tuple[bytes, ...]) -> bytes:
@@ -321,10 +332,29 @@
                 return message
         return None
 
-    def _start_request(self, reader: PayloadReader) -> ForwardRequest | GetBodyChunkPacket | None:
+    def peek_request(self, buffer: Buffer) -> ForwardRequest | None:
+        """Return the next request without its body, which stays unread; None while it is incomplete.
+
+        Raises:
+            MalformedMessageError: The data is malformed, or no request.
+        """
+        while (payload := peek_packet(buffer, TO_CONTAINER)) is not None:
+            if payload[:1] == bytes((FORWARD_REQUEST,)):
+                return self._read_request(PayloadReader(payload[1:]))
+            if payload[:1] not in (bytes((SHUTDOWN,)), bytes((PING,))):
+                raise MalformedMessageError("prefix code")
+            take_packet(buffer, TO_CONTAINER)
+        return None
+
+    def _read_request(self, reader: PayloadReader) -> ForwardRequest:
+        """Read a request without its body, and check its secret."""
         request = read_forward_request(reader)
         if self.secret and not hmac.compare_digest(request.attributes.get("secret", b""), self.secret):
             raise MalformedMessageError("secret", 403)
+        return request
+
+    def _start_request(self, reader: PayloadReader) -> ForwardRequest | GetBodyChunkPacket | None:
+        request = self._read_request(reader)
         if b"content-length" in request.headers and b"transfer-encoding" in request.headers:
             # Two conflicting body lengths could hide a second request in the body (request smuggling).
             raise MalformedMessageError("two lengths at once")
--- a/saltcart/wire/http1.py
+++ b/saltcart/wire/http1.py
@@ -8,6 +8,7 @@
 
 import re
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from saltcart.wire.buffer import Buffer
 from saltcart.wire.errors import MalformedMessageError
@@ -108,6 +109,34 @@
     return int(text)
 
 
+class MessageHead(NamedTuple):
+    """The words of a message's first line, and its headers by lower-case name."""
+
+    words: list[bytes]
+    headers: dict[bytes, bytes]
+
+
+def parse_head(raw_head: bytes) -> MessageHead:
+    """Parse a head, with or without the empty line that ends it.
+
+    Raises:
+        MalformedMessageError: A header is malformed, or there are too many.
+    """
+    first_line, *lines = raw_head.removesuffix(b"\r\n\r\n").split(b"\r\n")
+    return MessageHead(first_line.split(b" "), parse_headers(lines))
+
+
+def path_of(words: list[bytes]) -> bytes:
+    """Return the path that a request line names, without its query.
+
+    Raises:
+        MalformedMessageError: The line has another form.
+    """
+    if len(words) != 3 or not TOKEN.match(words[0]) or not words[1].startswith(b"/"):
+        raise MalformedMessageError("request line")
+    return words[1].partition(b"?")[0]
+
+
 class HttpParser:
     """Splits received bytes into messages; a message is returned once its last byte has arrived."""
 
@@ -115,24 +144,30 @@
         """Create a parser for one connection; messages with bodies over the limit are malformed."""
         self.max_body_bytes, self.searched_bytes = max_body_bytes, 0  # searched for the end of the head
         # The words of the first line and the headers of a message whose body is incomplete.
-        self.head: tuple[list[bytes], dict[bytes, bytes]] | None = None
+        self.head: MessageHead | None = None
         self.body_length, self.raw_head = 0, b""  # of that message; the raw head is kept for a handover
 
+    def _find_head(self, buffer: Buffer) -> int | None:
+        """Return the length of the head that begins the unread bytes; None while it is incomplete."""
+        position = buffer.find(b"\r\n\r\n", self.searched_bytes)
+        if position > MAX_HEAD_BYTES or (position < 0 and len(buffer) > MAX_HEAD_BYTES):
+            raise MalformedMessageError("head too long", 431)
+        if position < 0:
+            self.searched_bytes = max(0, len(buffer) - 3)
+            return None
+        return position + 4
+
     def _take_message(self, buffer: Buffer) -> tuple[list[bytes], dict[bytes, bytes], bytes] | None:
         """Consume the next message; return the words of its first line, its headers and its body."""
         if self.head is None:
-            position = buffer.find(b"\r\n\r\n", self.searched_bytes)
-            if position > MAX_HEAD_BYTES or (position < 0 and len(buffer) > MAX_HEAD_BYTES):
-                raise MalformedMessageError("head too long", 431)
-            if position < 0:
-                self.searched_bytes = max(0, len(buffer) - 3)
+            length = self._find_head(buffer)
+            if length is None:
                 return None
-            self.raw_head = buffer.take(position + 4)
-            first_line, *lines = self.raw_head[:-4].split(b"\r\n")
+            self.raw_head = buffer.take(length)
             self.searched_bytes = 0
-            headers = parse_headers(lines)
-            self.body_length = parse_body_length(headers, self.max_body_bytes)
-            self.head = first_line.split(b" "), headers
+            head = parse_head(self.raw_head)
+            self.body_length = parse_body_length(head.headers, self.max_body_bytes)
+            self.head = head
         if len(buffer) < self.body_length:
             return None
         (words, headers), self.head, self.raw_head = self.head, None, b""
@@ -142,20 +177,46 @@
 class HttpRequestParser(HttpParser):
     """Parses the requests that a server receives."""
 
+    def _skip_empty_lines(self, buffer: Buffer) -> None:
+        """Drop empty lines before a request, which are ignored."""
+        while self.head is None and buffer.peek(2) == b"\r\n":
+            buffer.consume(2)
+
+    def peek_first_line(self, buffer: Buffer) -> list[bytes] | None:
+        """Return the words of the next request's first line, which stays unread; None while it is incomplete.
+
+        Raises:
+            MalformedMessageError: The head is too long.
+        """
+        self._skip_empty_lines(buffer)
+        end = buffer.find(b"\r\n")
+        if end < 0:
+            self._find_head(buffer)
+            return None
+        return buffer.peek(end).split(b" ")
+
+    def peek_head(self, buffer: Buffer) -> MessageHead | None:
+        """Return the head of the next request, which stays unread; None while it is incomplete.
+
+        Raises:
+            MalformedMessageError: The head is malformed or too long.
+        """
+        self._skip_empty_lines(buffer)
+        length = self._find_head(buffer)
+        return None if length is None else parse_head(buffer.peek(length))
+
     def next(self, buffer: Buffer) -> HttpRequest | None:
         """Return the next request, or None while none is complete.
 
         Raises:
             MalformedMessageError: The data is malformed; the parser must not be used again.
         """
-        while self.head is None and buffer.peek(2) == b"\r\n":  # empty lines before a request are ignored
-            buffer.consume(2)
+        self._skip_empty_lines(buffer)
         message = self._take_message(buffer)
         if message is None:
             return None
         words, headers, body = message
-        if len(words) != 3 or not TOKEN.match(words[0]) or not words[1].startswith(b"/"):
-            raise MalformedMessageError("request line")
+        path_of(words)
         if words[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
             raise MalformedMessageError("version", 505)
         return HttpRequest(words[0], words[1], headers, body, is_keep_alive(words[2], headers))
