Keys: a try whose key the predecessor may be running is not refused in a drain

Callers would see: 503 for a try of a request that the process before this one has begun to run, once this process drains or has handed over itself.

Cause: unaccepted_response asked has_run, which a predecessor reports with the end of a run. A key that it held when it handed over and has begun to run since looks here as if it had not run.

Change: may_have_run, as at the door of retry storms: a key of another process counts as begun until its end is told.

Result: test_retry_of_a_request_that_the_predecessor_may_be_running_is_not_rejected_in_a_drain got 'refused' before and 'failed' now.

--- a/saltcart/core/request_intake.py
+++ b/saltcart/core/request_intake.py
@@ -182,6 +182,6 @@
     """
     if record is not None and record.result is not None:
         return FinalResponse(ResponseStatus.SERVED, record.result)
-    if is_uncertain or (record is not None and record.has_run):
+    if is_uncertain or (record is not None and record.may_have_run):
         return FinalResponse(ResponseStatus.FAILED)
     return FinalResponse(ResponseStatus.REJECTED, back_off_seconds=UNACCEPTED_BACK_OFF_SECONDS)
--- a/tests/test_drain_and_connection_edge_cases.py
+++ b/tests/test_drain_and_connection_edge_cases.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from saltcart.core.idempotency_keys import KeyRecord, digest
 from saltcart.decision.actions import FailRequest
 from saltcart.decision.controller import Controller
 from saltcart.decision.events import RequestArrived, Started, TimerFired
@@ -241,6 +242,18 @@
     assert status == "failed" or harness.responses[encode_id(2)][0].body == b"result"
 
 
+# Guards against: 503 for a request that the predecessor has begun to run since it handed over its keys.
+def test_retry_of_a_request_that_the_predecessor_may_be_running_is_not_rejected_in_a_drain() -> None:
+    harness = ServiceHarness()
+    record = KeyRecord(("a", "oddaja", b"k"), 0, harness.now + 6.0, digest(b"body of k"))
+    harness.service.adopt_key(record, is_free=False)
+    harness.service.start_drain(2.0)
+    harness.run_until(harness.now + 1.95)
+    harness.submit(2)
+    harness.submit(3, key=b"new")
+    assert harness.statuses(2) == ["failed"] and harness.statuses(3) == ["refused"]
+
+
 def test_sender_clock_that_is_ahead_does_not_move_a_retry_past_the_key_window() -> None:
     """A Received-At in the future would make the retry run a second time inside the window."""
     harness = harness_with_key_window(1.0)
