AJP: a request with more than 64 header fields ends with 431, as over HTTP

Cause: read_forward_request took as many fields as a packet of 8 KiB holds, some 900, and kept them until the body had come; README names 64 as the limit of both fronts.

Evidence: 280 connections with 905 fields each and half a body: 46.4 MB from 24.5, 80 KB a connection; HTTP ends such heads at once.

Change: MAX_HEADER_COUNT, 431.

The new rows of test_ajp_requests failed before (2 of 183).

--- a/saltcart/wire/ajp.py
+++ b/saltcart/wire/ajp.py
@@ -14,6 +14,7 @@
 from saltcart.wire.errors import MalformedMessageError
 
 MAX_PACKET_BYTES, HEADER_BYTES = 8192, 4
+MAX_HEADER_COUNT = 64  # of a request
 # In a SEND_BODY_CHUNK packet: the payload also holds the code, the length and a closing zero byte.
 MAX_CHUNK_BYTES = MAX_PACKET_BYTES - HEADER_BYTES - 4
 # In a body packet to the container: the payload also holds the length.
@@ -255,7 +256,8 @@
     """Read a FORWARD_REQUEST payload after its prefix code; the request is returned without its body.
 
     Raises:
-        MalformedMessageError: A field is malformed or unknown, or Content-Length is repeated.
+        MalformedMessageError: A field is malformed or unknown, Content-Length is repeated, or there are too
+            many headers.
     """
     method = reader.read_byte()
     if method != STORED_METHOD and not 0 < method <= len(METHODS):
@@ -267,7 +269,10 @@
     reader.read_integer()  # server port
     reader.read_byte()  # whether the client uses TLS
     headers: dict[bytes, bytes] = {}
-    for _ in range(reader.read_integer()):
+    header_count = reader.read_integer()
+    if header_count > MAX_HEADER_COUNT:
+        raise MalformedMessageError("too many header fields", 431)
+    for _ in range(header_count):
         name, value = reader.read_header_name(REQUEST_HEADERS), reader.read_string()
         if name in headers:
             if name == b"content-length":
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -103,6 +103,7 @@
     return ajp.encode_packet(ajp.TO_CONTAINER, payload)
 
 
+NUMBERED_HEADERS = [(b"%d" % number, b"") for number in range(65)]
 CONTENT_LENGTH_5 = (b"Content-Length", b"5")
 AJP_REQUEST_CASES: list[tuple[bytes, list[Any]]] = [
     (forward_request(), [(b"POST", b"/call/x", b"")]),
@@ -134,6 +135,9 @@
     (forward_request(CONTENT_LENGTH_5, (b"Transfer-Encoding", b"chunked")), [400]),
     (forward_request(uri=b"x"), [400]),
     (ajp.encode_forward_request(b"GET", b"/", [], b"h", 80), [403]),
+    (forward_request(*NUMBERED_HEADERS[:64]), [(b"POST", b"/call/x", b"")]),
+    # Guards against: 80 KB held for one head of 900 short fields, where HTTP ends with 431 at 65.
+    (forward_request(*NUMBERED_HEADERS), [431]),
     (b"AB\x00\x01\x0a", [400]),
     (b"\x12\x34\xff\xff", [400]),
     (container_packet(b""), [400]),
