Administration: a client that does not read gets no further answers

Cause: AdminConnection answered all that stood in its buffer of 128 KiB in one turn, and read on though nothing was taken. The clients' fronts stop at an unread answer and answer 8 requests a turn.

Change: 8 requests a turn; no request is read or answered while the client does not read.

--- a/saltcart/admin/server.py
+++ b/saltcart/admin/server.py
@@ -8,6 +8,9 @@
 from saltcart.wire.errors import MalformedMessageError
 
 MAX_BODY_BYTES = 65536
+MAX_REQUESTS_PER_ITERATION = (
+    8  # of one connection, so that a flood on it does not delay the service's clients
+)
 
 
 class AdminConnection(ServerConnection):
@@ -19,23 +22,51 @@
         self.api, self.parser = api, http1.HttpRequestParser(MAX_BODY_BYTES)
 
     def received(self) -> None:
-        """Respond to every request that has arrived whole."""
+        """Respond to the requests that have arrived whole, some in each iteration of the event loop."""
         self.mark_awaiting_request()
         try:
-            while not self.is_ending and self.transport is not None and not self.transport.is_closing():
+            for _ in range(MAX_REQUESTS_PER_ITERATION):
+                if not self._can_respond():
+                    break
                 request = self.parser.next(self.buffer)
                 if request is None:
                     return
-                self.mark_idle()
-                status, body, headers = self.api.handle(
-                    request.method.decode("latin-1"),
-                    request.target.decode("latin-1"),
-                    request.headers,
-                    request.body,
-                )
-                self._write(status, body, headers, request.keep_alive)
+                self._respond(request)
         except MalformedMessageError as error:
             self._write(error.status, b'{"error":"malformed request"}', {}, False)
+        if self.transport is not None and not self.is_ending:
+            self.transport.pause_reading()
+            self._continue_later()
+
+    def _can_respond(self) -> bool:
+        """Whether the connection is open and its client reads the responses."""
+        is_open = self.transport is not None and not self.transport.is_closing()
+        return is_open and not self.is_ending and self not in self.listener.write_blocked
+
+    def _respond(self, request: http1.HttpRequest) -> None:
+        self.mark_idle()
+        status, body, headers = self.api.handle(
+            request.method.decode("latin-1"),
+            request.target.decode("latin-1"),
+            request.headers,
+            request.body,
+        )
+        self._write(status, body, headers, request.keep_alive)
+
+    def resume_writing(self) -> None:
+        """Continue with the requests that have arrived once the client reads its responses again."""
+        super().resume_writing()
+        self._continue_later()
+
+    def _continue_later(self) -> None:
+        self.listener.loop.call_soon(self._continue)
+
+    def _continue(self) -> None:
+        if self.transport is None or not self._can_respond():
+            return
+        self.transport.resume_reading()
+        if len(self.buffer):
+            self.received()
 
     def _write(self, status: int, body: bytes, headers: dict[str, str], keep_alive: bool) -> None:
         content_type = {"Content-Type": "application/json"} if body else {}
