Connections: ending one that its peer has just reset raises nothing

Cause: ServerConnection.half_close calls write_eof, which shuts the socket down at once and raises ENOTCONN on a socket that was reset before the loop has read so.

Change: the limit is set first; on OSError the connection is aborted.

Result: test_ending_a_connection_that_was_just_reset_raises_nothing raised OSError before and passes.

--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -105,8 +105,11 @@
             self.is_ending = True
             self.buffer.consume(len(self.buffer))
             self.transport.resume_reading()
-            self.transport.write_eof()
             self._abort_later()
+            try:
+                self.transport.write_eof()
+            except OSError:  # the peer has just reset the connection
+                self.abort()
 
     def eof_received(self) -> bool:
         """Close the connection when the peer closes its sending direction, after sending what was written."""
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 
 from saltcart.deployment import read_deployment
 from tests.fakes import ServiceHarness
@@ -64,3 +66,20 @@
             client.drop()
 
     asyncio.run(run_scenario())
+
+
+# Guards against: an exception in a sweep, by which the other connections that are due stay open.
+def test_ending_a_connection_that_was_just_reset_raises_nothing() -> None:
+    async def run_scenario() -> None:
+        async with Pool() as pool, running(pool=pool.address) as app:
+            listener = app.listeners[0]
+            host, port = app.addresses["http"].split(":")
+            client = socket.create_connection((host, int(port)))
+            await until(lambda: len(listener.connections) == 1)
+            (connection,) = listener.connections
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            client.close()  # resets the connection before the event loop runs again
+            connection.half_close()
+            await until(lambda: not listener.connections)
+
+    asyncio.run(run_scenario())
