Connections: unread requests of a client that has closed its connection do not run

Cause: requests are read one at a time, and the end of the data stands behind them. Nothing asked whether the client had closed meanwhile.

Evidence: five declarations, closed while the first runs: all five spawned, on both fronts. After a reset they were not.

Change: a request that did not arrive alone is answered 500 and not run if TCP_INFO says that the connection is closed by the other side; the rest is dropped. A request that arrives alone is not asked about, as its end of data is read next.

Result: test_requests_that_are_unread_when_their_client_leaves_do_not_run[closes] failed before on both fronts; pipelined requests of a client that stays all run.

--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -51,6 +51,8 @@
         self.has_open_request = False  # a complete request was read and has no response yet
         # A request is being passed to the core; after an immediate response, reading continues at once.
         self.is_submitting = False
+        # The next request begins with the bytes that were received just now.
+        self.is_first_of_data = False
         self.admission = RequestAdmission(service)
 
     def is_health_check(self) -> bool | None:
@@ -138,6 +140,12 @@
             and (self.transport is not None and not self.transport.is_closing())
         )
 
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the bytes that asyncio has received into the buffer."""
+        self.is_first_of_data = True
+        super().buffer_updated(nbytes)
+        self.is_first_of_data = False
+
     def received(self) -> None:
         """Read and handle requests from the buffer, or hand the connection over during a takeover."""
         if not self.has_open_request:
@@ -161,6 +169,7 @@
                         self.mark_awaiting_request()
                     self._resume_reading()
                     return
+                self.is_first_of_data = False
             else:
                 self.continue_reading()
         except MalformedMessageError as error:
@@ -225,6 +234,14 @@
         if not self.keep_alive:
             self.half_close()
 
+    def _client_has_left(self) -> bool:
+        """Whether the client closed the connection after it sent this request and others.
+
+        Of a request that arrived alone, the end of the data arrives next.
+        """
+        was_sent_alone = self.is_first_of_data and not len(self.buffer)
+        return not was_sent_alone and self.peer_has_closed()
+
     def dispatch(self, method: bytes, target: bytes, headers: Mapping[bytes, bytes], body: bytes) -> None:
         """Handle one complete request of either protocol."""
         self.mark_busy()
@@ -236,6 +253,10 @@
             self.respond(404)
         elif method != b"POST":
             self.respond(405, b"", (("Allow", "POST"),))
+        elif self._client_has_left():
+            # The response is for a client that has closed the sending direction only.
+            self.keep_alive = False
+            self.respond(500)
         else:
             try:
                 request = parse_request(path, headers, body, self.service)
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -12,6 +12,10 @@
 from saltcart.net.receive_memory import ReceiveMemory
 from saltcart.net.supervision import PeriodicTask
 
+# The first byte of TCP_INFO after the peer has closed or reset the connection (Linux, tcp_states.h):
+# TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK and CLOSING.
+TCP_STATES_AFTER_CLOSE = (b"\x06", b"\x07", b"\x08", b"\x09", b"\x0b")
+
 
 class ServerConnection(Connection):
     """An accepted connection; it reports to its listener whether it awaits a request, is busy or is idle.
@@ -111,6 +115,16 @@
             except OSError:  # the peer has just reset the connection
                 self.abort()
 
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has closed or reset the connection, even if bytes before that are still unread."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        try:
+            info = self.transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except (OSError, AttributeError):  # the platform does not tell
+            return False
+        return info[:1] in TCP_STATES_AFTER_CLOSE
+
     def eof_received(self) -> bool:
         """Close the connection when the peer closes its sending direction, after sending what was written."""
         if self._has_unsent_data():
