Requests: an id that has run does not run again, here or at the next process

A keyed request is safe by its key; others had nothing once their run was over.

Cause: RequestIntake knew the ids of open requests alone, and the packets of a takeover carried those of keys' attempts.

Change: core/run_ids.py keeps the ids of requests whose run has begun for 60 s, or twice the longest deadline, the time for which a Received-At is accepted; 1.5% of memory_mb at most. They get 400. At a takeover they go over with the ids of open requests before "yours" (packet "runs"; older releases skip it). An id that was refused may come again.

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -14,6 +14,7 @@
 from saltcart.config import Config, ConfigError
 from saltcart.core.draining import STOP_MARGIN_SECONDS
 from saltcart.core.ports import Log, WorkerPool
+from saltcart.core.run_ids import RUN_ID_BYTES
 from saltcart.core.service import Service
 from saltcart.decision.settings import Settings
 from saltcart.deployment import AdminSettings, Deployment
@@ -41,6 +42,7 @@
 
 KEY_MEMORY_SHARE = 0.25  # of the memory limit, for idempotency keys with their stored results
 RECEIVE_MEMORY_SHARE = 0.125  # of the memory limit, for requests that have arrived in part
+RUN_ID_MEMORY_SHARE = 0.015  # of the memory limit, for the ids of requests that have run
 OPERATOR_IDLE_SECONDS = 30.0
 AJP_DIVISOR = 3  # the AJP front may have the limit of client connections divided by this
 
@@ -90,6 +92,7 @@
             clock,
             log,
             max_key_bytes=key_bytes,
+            max_run_ids=int(conf.memory_mb * RUN_ID_MEMORY_SHARE * 1024 * 1024 / RUN_ID_BYTES),
             seconds_ahead=clock.seconds_ahead,
         )
         self.service.intake.requires_tenant = requires_tenant
--- a/saltcart/core/action_executor.py
+++ b/saltcart/core/action_executor.py
@@ -11,6 +11,7 @@
 from saltcart.core.ports import Log, Ports
 from saltcart.core.request import BLOCKED, CALLING, HELD, JOINED, PAUSED, RUNNING, PendingRequest
 from saltcart.core.request_lifecycle import RequestLifecycle
+from saltcart.core.run_ids import RunIds
 from saltcart.core.timers import Timers
 from saltcart.decision import actions
 from saltcart.decision.events import CallFinished, RunFinished
@@ -36,6 +37,7 @@
         ports: Ports,
         drain: DrainState,
         lifecycle: RequestLifecycle,
+        run_ids: RunIds,
         log: Log,
         on_call_overdue: Callable[[bytes], None],
     ) -> None:
@@ -46,6 +48,7 @@
         self.drain = drain
         self.lifecycle = lifecycle
         self.loop = lifecycle.loop
+        self.run_ids = run_ids
         self.log = log
         self.on_call_overdue = on_call_overdue
         self.is_healthy = True  # according to the decision module
@@ -94,6 +97,7 @@
             self.loop.defer(RunFinished(request.number, Outcome.NOT_STARTED, 0.0))
             return
         request.phase = RUNNING
+        self.run_ids.add(self.clock.now, inbound.request_id)
         self.lifecycle.counters.runs_started[inbound.class_name] += 1
         self.ports.workers.spawn(
             inbound.request_id,
--- a/saltcart/core/messages.py
+++ b/saltcart/core/messages.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+# How long ago a request may have reached the host; twice the longest deadline if that is longer.
+MAX_REQUEST_AGE_SECONDS = 60.0
+
 
 class InvalidRequestError(Exception):
     """The request violates the protocol; it was not accepted, and the front sends the error to its client."""
--- a/saltcart/core/request_intake.py
+++ b/saltcart/core/request_intake.py
@@ -17,6 +17,7 @@
 from saltcart.core.request import PendingRequest
 from saltcart.core.request_lifecycle import RequestLifecycle
 from saltcart.core.retry_watch import RetryWatch
+from saltcart.core.run_ids import RunIds
 from saltcart.core.timers import Timers
 from saltcart.decision.events import RequestArrived
 from saltcart.decision.settings import ClassSpec, Effect, Settings, TenantSpec
@@ -35,6 +36,7 @@
         timers: Timers,
         drain: DrainState,
         lifecycle: RequestLifecycle,
+        run_ids: RunIds,
         on_overdue: Callable[[int], None],
     ) -> None:
         """Accept requests of the settings' classes and tenants.
@@ -45,6 +47,7 @@
             timers: The core's timers.
             drain: The drain state.
             lifecycle: Owns the requests.
+            run_ids: The ids of requests that have run lately.
             on_overdue: Called with the number of a request whose response may be overdue.
         """
         self.answer_slack = settings.answer_slack
@@ -58,6 +61,7 @@
         self.timers = timers
         self.drain = drain
         self.lifecycle = lifecycle
+        self.run_ids = run_ids
         self.on_overdue = on_overdue
         self.retry_watch = RetryWatch(clock, lifecycle, len(settings.classes))
 
@@ -114,6 +118,8 @@
             raise InvalidRequestError("no such account")
         if inbound.request_id in self.lifecycle.requests_by_id:
             raise InvalidRequestError("this id is in use")
+        if self.run_ids.has(self.clock.now, inbound.request_id):
+            raise InvalidRequestError("this id was used before")
         return class_index
 
     @staticmethod
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -16,12 +16,13 @@
 from saltcart.core.decision_loop import DecisionLoop
 from saltcart.core.draining import STOP_MARGIN_SECONDS, DrainState
 from saltcart.core.idempotency_keys import KeyRecord, KeyTable
-from saltcart.core.messages import InboundRequest, ResponseCallback
+from saltcart.core.messages import MAX_REQUEST_AGE_SECONDS, InboundRequest, ResponseCallback
 from saltcart.core.ports import Log, Ports, RetryStormControl
 from saltcart.core.request import PendingRequest
 from saltcart.core.request_counters import RequestCounters
 from saltcart.core.request_intake import RequestIntake
 from saltcart.core.request_lifecycle import RequestLifecycle
+from saltcart.core.run_ids import RunIds
 from saltcart.core.run_lookup import RunLookup
 from saltcart.core.run_tracker import RunTracker
 from saltcart.core.timers import Timers
@@ -31,6 +32,7 @@
 from saltcart.decision.settings import Effect, Settings, TenantSpec
 
 DEFAULT_MAX_KEY_BYTES = 1 << 24
+DEFAULT_MAX_RUN_IDS = 1 << 15
 DEFAULT_IDLE_TIMEOUT_SECONDS = 30.0  # of client connections, if the settings name none
 EXPIRY_INTERVAL_SECONDS = 1.0  # between two removals of expired keys and unreported runs
 
@@ -47,6 +49,7 @@
         log: Log,
         *,
         max_key_bytes: int = DEFAULT_MAX_KEY_BYTES,
+        max_run_ids: int = DEFAULT_MAX_RUN_IDS,
         seconds_ahead: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Create a service, which accepts requests once the worker pool is up.
@@ -58,6 +61,7 @@
             clock: Returns the time in seconds; it advances steadily.
             log: Writes log events.
             max_key_bytes: Limit of the memory of idempotency keys with their results.
+            max_run_ids: Limit of the number of ids that are kept of requests that have run.
             seconds_ahead: Returns by how many seconds ``clock`` is ahead of the Unix clock, in which peers
                 express times.
         """
@@ -69,6 +73,8 @@
         self.timers = Timers()
         self.ports = Ports()
         self.longest_deadline = max(spec.deadline for spec in settings.classes)
+        self.max_request_age = max(MAX_REQUEST_AGE_SECONDS, 2 * self.longest_deadline)
+        self.run_ids = RunIds(self.max_request_age, max_run_ids)
         # An attempt may be read as late as its caller can still wait, which the longest deadline bounds.
         self.keys = KeyTable(max_key_bytes, self.longest_deadline)
         self._create_components()
@@ -93,11 +99,11 @@
         )
         self.runs = RunTracker(clock, ports, self.lifecycle, settings.preemption, log)
         self.intake = RequestIntake(
-            settings, clock, timers, self.drain, self.lifecycle, self._request_overdue
+            settings, clock, timers, self.drain, self.lifecycle, self.run_ids, self._request_overdue
         )
         self.run_lookup = RunLookup(settings.classes, clock, self.keys, self.lifecycle.attempts)
         self.executor = ActionExecutor(
-            clock, timers, ports, self.drain, self.lifecycle, log, self._call_overdue
+            clock, timers, ports, self.drain, self.lifecycle, self.run_ids, log, self._call_overdue
         )
         self.loop.execute_action = self.executor.execute
 
@@ -252,6 +258,14 @@
         self.clock.read()
         self.lifecycle.attempts.adopt(record, is_free, next(self.lifecycle.request_numbers))
 
+    def used_request_ids(self) -> list[bytes]:
+        """Return the ids of requests that have run here lately, or may still run."""
+        return [*self.run_ids.encoded(), *self.requests_by_id]
+
+    def adopt_request_ids(self, request_ids: Iterable[bytes]) -> None:
+        """Run no request of these ids, because they have run, or may still run, in the predecessor."""
+        self.run_ids.adopt(self.clock.read(), request_ids)
+
     def mark_keys_uncertain(self) -> None:
         """Fail new keys until the windows of any keys that another process didn't report have passed."""
         classes = self.settings.classes
--- a/saltcart/front/fields.py
+++ b/saltcart/front/fields.py
@@ -10,10 +10,9 @@
 from saltcart.core.service import Service
 
 MAX_BODY_BYTES = 2048
-# Bounds of a request's fields: the longest time that a caller waits or that work takes, and how long before
-# and after the current time the request may have reached the host. A long deadline in the settings raises
-# the first two bounds.
-MAX_DURATION_MS, MAX_AGE_SECONDS, MAX_FUTURE_SECONDS = 600_000.0, 60.0, 5.0
+# Bounds of a request's fields: the longest time that a caller waits or that work takes, which a long deadline
+# in the settings raises, and how long after the current time the request may have reached the host.
+MAX_DURATION_MS, MAX_FUTURE_SECONDS = 600_000.0, 5.0
 REQUEST_ID = re.compile(rb"[0-9a-fA-F]{16}\Z")
 IDEMPOTENCY_KEY = re.compile(rb"[\x21-\x7e]{1,128}\Z")
 DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,9})?\Z")
@@ -114,7 +113,7 @@
     cost_ms = parse_number_field(headers, b"work-estimate", math.nan, 0, max_duration_ms)
     seconds_ahead = service.clock.seconds_ahead()
     unix_now = service.clock.read_seconds() - seconds_ahead  # Received-At is in Unix time
-    max_age = max(MAX_AGE_SECONDS, 2 * service.longest_deadline)
+    max_age = service.max_request_age
     received_at = (
         seconds_ahead
         + parse_number_field(
--- a/saltcart/takeover/predecessor.py
+++ b/saltcart/takeover/predecessor.py
@@ -18,6 +18,12 @@
 
 # After this timeout, the successor serves without the keys of a predecessor that hasn't handed over.
 HANDOVER_TIMEOUT_SECONDS = 4.0
+PACKETS_WITHOUT_KEYS = (
+    PacketKind.LOAD,
+    PacketKind.REQUEST_IDS,
+    PacketKind.WITHDRAWN,
+    PacketKind.CONNECTION,
+)
 
 
 class Predecessor:
@@ -83,7 +89,7 @@
             error: Tells what can't be read.
         """
         self.log("handover-malformed", kind=kind, error=str(error))
-        if kind not in (PacketKind.LOAD, PacketKind.WITHDRAWN, PacketKind.CONNECTION):
+        if kind not in PACKETS_WITHOUT_KEYS:
             self.has_unread_key = True
             self.service.mark_keys_uncertain()
         if kind == PacketKind.HANDED_OVER:
@@ -106,6 +112,8 @@
                 if not self.has_unread_key:
                     self.service.lifecycle.attempts.uncertain_until = uncertain_until
                 self.handover_ended.set()
+            case PacketKind.REQUEST_IDS:
+                self.service.adopt_request_ids(wire.read_request_ids(packet))
             case PacketKind.WITHDRAWN:
                 self.service.set_withdrawn(wire.read_withdrawn(packet))
             case PacketKind.CONNECTION if descriptor is not None:
--- a/saltcart/takeover/successor.py
+++ b/saltcart/takeover/successor.py
@@ -40,6 +40,8 @@
         self.last_sent_withdrawn = False
         for record in self.service.lifecycle.attempts.hand_over(self._send_key):
             self._send_key(record, False)
+        for packet in wire.request_id_packets(self.service.used_request_ids()):
+            link.send(packet)
         self._send_load()
         self._send_withdrawn()
         seconds_ahead = self.service.clock.seconds_ahead()
--- a/saltcart/wire/handover.py
+++ b/saltcart/wire/handover.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from typing import Any, NamedTuple
 
 import orjson
@@ -17,9 +18,14 @@
 
 VERSION = 1
 MAX_PACKET_BYTES = 65536
+REQUEST_ID_BYTES = 16
+MAX_IDS_PER_PACKET = 2048
 MAX_NUMBER = 1e12  # protects the decision module from unusable numbers sent by another release
 
 
+HEX_DIGITS = re.compile(rb"[0-9a-fA-F]*")
+
+
 class PacketKind(enum.StrEnum):
     """The kind of a packet.  A successor ignores other kinds, which only later releases send."""
 
@@ -28,6 +34,7 @@
     FREED_KEY = "gone"  # an idempotency key that is free again because nothing ran
     LOAD = "beside"  # the load that remains on the predecessor
     HANDED_OVER = "yours"  # all keys were sent, and the successor serves from now on
+    REQUEST_IDS = "runs"  # ids of requests that have run on the predecessor, or may still run there
     WITHDRAWN = "withdrawn"  # whether operators have withdrawn the instance
     CONNECTION = "connection"  # a client connection, whose file descriptor is sent with the packet
 
@@ -174,6 +181,26 @@
     return read_number("uncertain", packet.fields["uncertain"]) + seconds_ahead
 
 
+def request_id_packets(request_ids: list[bytes]) -> list[HandoverPacket]:
+    """Return the packets for the ids of requests, none if there is no id."""
+    return [
+        HandoverPacket(PacketKind.REQUEST_IDS, {}, b"".join(request_ids[start : start + MAX_IDS_PER_PACKET]))
+        for start in range(0, len(request_ids), MAX_IDS_PER_PACKET)
+    ]
+
+
+def read_request_ids(packet: HandoverPacket) -> list[bytes]:
+    """Read the ids of requests.
+
+    Raises:
+        MalformedMessageError: The data is not a sequence of ids.
+    """
+    data = packet.data
+    if len(data) % REQUEST_ID_BYTES or HEX_DIGITS.fullmatch(data) is None:
+        raise MalformedMessageError(f"handover: {len(data)} bytes are not ids of 16 hex digits")
+    return [data[start : start + REQUEST_ID_BYTES] for start in range(0, len(data), REQUEST_ID_BYTES)]
+
+
 def withdrawn_packet(is_withdrawn: bool) -> HandoverPacket:
     """Return the packet that reports whether operators have withdrawn the instance."""
     return HandoverPacket(PacketKind.WITHDRAWN, {"on": is_withdrawn})
