App: memory is shared out in a module of its own; long constructors shortened

Change: memory_limits.allocate_memory, beside descriptors.allocate_connections; RetryCounts for the counters of retry storms; read_request_headers; App._make_service.

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -14,7 +14,6 @@
 from saltcart.config import Config, ConfigError
 from saltcart.core.draining import STOP_MARGIN_SECONDS
 from saltcart.core.ports import Log, WorkerPool
-from saltcart.core.run_ids import RUN_ID_BYTES
 from saltcart.core.service import Service
 from saltcart.decision.settings import Settings
 from saltcart.deployment import AdminSettings, Deployment
@@ -23,6 +22,7 @@
 from saltcart.front.ajp import AjpConnection
 from saltcart.front.control import ControlConnection
 from saltcart.front.http import HttpConnection
+from saltcart.memory_limits import MemoryLimits, allocate_memory
 from saltcart.net.announcer import Announcer
 from saltcart.net.clock import Clock, Ticker
 from saltcart.net.index import IndexClient
@@ -40,9 +40,6 @@
     from saltcart.retry_storm.controller import RetryStormController
     from saltcart.retry_storm.settings import StormSettings
 
-KEY_MEMORY_SHARE = 0.25  # of the memory limit, for idempotency keys with their stored results
-RECEIVE_MEMORY_SHARE = 0.125  # of the memory limit, for requests that have arrived in part
-RUN_ID_MEMORY_SHARE = 0.015  # of the memory limit, for the ids of requests that have run
 OPERATOR_IDLE_SECONDS = 30.0
 AJP_DIVISOR = 3  # the AJP front may have the limit of client connections divided by this
 
@@ -77,27 +74,9 @@
         self.conf, self.deployment, self.log = conf, deployment, log
         if deployment.plans is not None:
             check_plans(deployment.plans, conf)
-        settings = conf.settings
-        requires_tenant = bool(deployment.tenants or deployment.admin)
-        if deployment.tenants:
-            settings = replace(settings, tenants=tenant_specs(deployment.tenants))
-        if requires_tenant:  # no weight over quota, so that no tenant uses another's share
-            settings = replace(settings, over_quota_weight_share=0.0)
-        key_bytes = int(conf.memory_mb * KEY_MEMORY_SHARE * 1024 * 1024)
-        clock = clock or Clock()
-        self.service = Service(
-            settings,
-            conf.gauges,
-            conf.seed,
-            clock,
-            log,
-            max_key_bytes=key_bytes,
-            max_run_ids=int(conf.memory_mb * RUN_ID_MEMORY_SHARE * 1024 * 1024 / RUN_ID_BYTES),
-            seconds_ahead=clock.seconds_ahead,
-        )
-        self.service.intake.requires_tenant = requires_tenant
-        receive_bytes = int(conf.memory_mb * RECEIVE_MEMORY_SHARE * 1024 * 1024)
-        self.receive_memory = ReceiveMemory(receive_bytes, log, time.monotonic)
+        memory_limits = allocate_memory(conf.memory_mb)
+        self.service = self._make_service(clock or Clock(), memory_limits)
+        self.receive_memory = ReceiveMemory(memory_limits.receive_bytes, log, time.monotonic)
         self.listeners: list[Listener] = []
         self.fronts: dict[str, Listener] = {}
         self.takeover: Takeover | None = None
@@ -114,6 +93,29 @@
         self.worker_pool_override: WorkerPool | None = None
         self.ticker: Ticker | None = None
 
+    def _make_service(self, clock: Clock, memory_limits: MemoryLimits) -> Service:
+        """Return the core, with the tenants of the deployment."""
+        conf = self.conf
+        settings = conf.settings
+        tenants = self.deployment.tenants
+        requires_tenant = bool(tenants or self.deployment.admin)
+        if tenants:
+            settings = replace(settings, tenants=tenant_specs(tenants))
+        if requires_tenant:  # no weight over quota, so that no tenant uses another's share
+            settings = replace(settings, over_quota_weight_share=0.0)
+        service = Service(
+            settings,
+            conf.gauges,
+            conf.seed,
+            clock,
+            self.log,
+            max_key_bytes=memory_limits.key_bytes,
+            max_run_ids=memory_limits.run_ids,
+            seconds_ahead=clock.seconds_ahead,
+        )
+        service.intake.requires_tenant = requires_tenant
+        return service
+
     async def start(self) -> None:
         """Open the listeners and connections.
 
--- a/saltcart/front/admission.py
+++ b/saltcart/front/admission.py
@@ -72,7 +72,7 @@
         if self.control is None:
             return ConnectionAdmission.READ
         if self.decision is None:
-            self.decision = self._ask(self.control, request)
+            self.decision = self._first_decision(self.control, request)
         if self.decision is not ConnectionAdmission.REFUSE:
             return self.decision
         may_have_run = self._may_have_run(request)
@@ -83,7 +83,9 @@
             self.decision = ConnectionAdmission.READ
         return self.decision
 
-    def _ask(self, control: RetryStormControl, request: UnreadRequest) -> ConnectionAdmission | None:
+    def _first_decision(
+        self, control: RetryStormControl, request: UnreadRequest
+    ) -> ConnectionAdmission | None:
         is_health_check = request.is_health_check()
         if is_health_check is None:
             return None
--- a/saltcart/lab/storm.py
+++ b/saltcart/lab/storm.py
@@ -646,9 +646,9 @@
         )
         for node in self.nodes:
             if node.storm_control is not None:
-                result.on_time_retry_count += node.storm_control.on_time_retry_count
-                result.early_retry_count += node.storm_control.early_retry_count
-                result.advice_count += node.storm_control.reservation_count
+                result.on_time_retry_count += node.storm_control.counts.on_time_retries
+                result.early_retry_count += node.storm_control.counts.early_retries
+                result.advice_count += node.storm_control.counts.reservations
                 result.sketch_bytes = node.storm_control.size_bytes()
         return result
 
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -56,7 +56,7 @@
         """Return the memory in bytes that the part of a request uses which has arrived."""
         return self.buffer.extra_capacity()
 
-    def awaits_request(self) -> bool:
+    def is_awaiting_request(self) -> bool:
         """Whether it waits for the rest of a request, and owes no response."""
         return self in self.listener.awaiting_request and not self.is_ending
 
--- a/saltcart/net/receive_memory.py
+++ b/saltcart/net/receive_memory.py
@@ -16,7 +16,7 @@
     def held_bytes(self) -> int:
         """Return the memory in bytes that the part of a request uses which has arrived."""
 
-    def awaits_request(self) -> bool:
+    def is_awaiting_request(self) -> bool:
         """Whether it waits for the rest of a request, and owes no response."""
 
     def on_memory_shortage(self) -> None:
@@ -46,7 +46,7 @@
         """Record what a connection holds now, and end incomplete requests while all hold too much."""
         self._record(connection, connection.held_bytes())
         while self.used_bytes > self.max_bytes:
-            oldest = next((each for each in self.held if each.awaits_request()), None)
+            oldest = next((each for each in self.held if each.is_awaiting_request()), None)
             if oldest is None:
                 return
             self.ended_count += 1
--- a/saltcart/retry_storm/controller.py
+++ b/saltcart/retry_storm/controller.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from saltcart.decision.connection_admission import ConnectionAdmission
@@ -66,6 +67,19 @@
     is_final: bool
 
 
+@dataclass(slots=True)
+class RetryCounts:
+    """Counts of attempts since the start."""
+
+    on_time_retries: int = 0  # at their reserved time
+    early_retries: int = 0  # before it
+    retries: int = 0
+    reservations: int = 0
+    schedule_full: int = 0  # rejections without a reservation
+    unread: int = 0  # requests that were rejected unread
+    max_retries_per_request: int = 0  # by the count-min sketch
+
+
 class RetryStormController:
     """Distinguishes retries from new requests and reserves retry times for rejected callers."""
 
@@ -103,13 +117,7 @@
         self.source_fairness = SourceFairness()
         self.counts_connections = False  # whether attempts are counted on connection, before they are read
         self.now = now
-        self.on_time_retry_count = 0  # retries at their reserved time
-        self.early_retry_count = 0
-        self.retry_count = 0
-        self.reservation_count = 0
-        self.schedule_full_count = 0
-        self.unread_count = 0  # requests that were rejected unread
-        self.max_retries_per_request = 0  # by the count-min sketch
+        self.counts = RetryCounts()
 
     def _retry_capacity(self, when: float) -> float:
         """Return the retries per second to reserve at a time: its capacity less the current new requests."""
@@ -178,17 +186,17 @@
         self.detector.record_arrival(now, is_retry)
         if not is_retry:
             return TrackedAttempt(fingerprint, is_retry=False, has_reservation=False, is_early=False)
-        self.retry_count += 1
-        self.max_retries_per_request = max(
-            self.max_retries_per_request, self.retry_counts.add(now, fingerprint)
+        self.counts.retries += 1
+        self.counts.max_retries_per_request = max(
+            self.counts.max_retries_per_request, self.retry_counts.add(now, fingerprint)
         )
         self.retrying_tenants.add(now, account)
         retry_at = self.reservations.get(fingerprint)
         if retry_at is None or now > retry_at + self.settings.grace:
             return TrackedAttempt(fingerprint, is_retry=True, has_reservation=False, is_early=False)
         is_early = now < retry_at - EARLY_TOLERANCE_SECONDS
-        self.early_retry_count += is_early
-        self.on_time_retry_count += not is_early
+        self.counts.early_retries += is_early
+        self.counts.on_time_retries += not is_early
         return TrackedAttempt(fingerprint, is_retry=True, has_reservation=not is_early, is_early=is_early)
 
     def record_rejection(self, now: float, fingerprint: int) -> RejectionAdvice:
@@ -207,10 +215,10 @@
         if retry_at is None or retry_at < now + EARLY_TOLERANCE_SECONDS:
             retry_at = self.schedule.reserve(now, self.settings.least)
             if retry_at is None:  # the schedule is full: a retry beyond the horizon, without a reservation
-                self.schedule_full_count += 1
+                self.counts.schedule_full += 1
                 return RejectionAdvice(self.settings.horizon * (1 + self.rng.random() / 2), True)
             self.reservations.put(now, digest, retry_at)
-            self.reservation_count += 1
+            self.counts.reservations += 1
         return RejectionAdvice(max(0.0, retry_at - now), is_final)
 
     def record_success(self, now: float, fingerprint: int, is_retry: bool) -> None:
@@ -236,7 +244,7 @@
 
         The source keeps its retry time until that time has come.
         """
-        self.unread_count += 1
+        self.counts.unread += 1
         return self._advise(now, source, is_final=False)
 
     def source_of(self, address: str) -> int:
@@ -269,13 +277,13 @@
             ("storm.storms", detector.storm_count),
             ("storm.amplification_percent", round(100 * detector.amplification(now))),
             ("storm.new_per_s", round(detector.new_request_rate(now))),
-            ("storm.again", self.retry_count),
-            ("storm.kept", self.on_time_retry_count),
-            ("storm.early", self.early_retry_count),
-            ("storm.told", self.reservation_count),
-            ("storm.calendar_full", self.schedule_full_count),
-            ("storm.most_tries", self.max_retries_per_request),
-            ("storm.unread", self.unread_count),
+            ("storm.again", self.counts.retries),
+            ("storm.kept", self.counts.on_time_retries),
+            ("storm.early", self.counts.early_retries),
+            ("storm.told", self.counts.reservations),
+            ("storm.calendar_full", self.counts.schedule_full),
+            ("storm.most_tries", self.counts.max_retries_per_request),
+            ("storm.unread", self.counts.unread),
         ]
 
     def state(self, now: float) -> dict[str, object]:
--- a/saltcart/wire/ajp.py
+++ b/saltcart/wire/ajp.py
@@ -252,6 +252,27 @@
     data: bytes
 
 
+def read_request_headers(reader: PayloadReader) -> dict[bytes, bytes]:
+    """Read the headers of a FORWARD_REQUEST; the values of a repeated header are joined by commas.
+
+    Raises:
+        MalformedMessageError: A header is malformed, Content-Length is repeated, or there are too many.
+    """
+    header_count = reader.read_integer()
+    if header_count > MAX_HEADER_COUNT:
+        raise MalformedMessageError("too many header fields", 431)
+    headers: dict[bytes, bytes] = {}
+    for _ in range(header_count):
+        name = reader.read_header_name(REQUEST_HEADERS)
+        value = reader.read_string()
+        if name in headers:
+            if name == b"content-length":
+                raise MalformedMessageError("repeated content-length")
+            value = headers[name] + b", " + value
+        headers[name] = value
+    return headers
+
+
 def read_forward_request(reader: PayloadReader) -> ForwardRequest:
     """Read a FORWARD_REQUEST payload after its prefix code; the request is returned without its body.
 
@@ -268,17 +289,7 @@
         reader.read_string()
     reader.read_integer()  # server port
     reader.read_byte()  # whether the client uses TLS
-    headers: dict[bytes, bytes] = {}
-    header_count = reader.read_integer()
-    if header_count > MAX_HEADER_COUNT:
-        raise MalformedMessageError("too many header fields", 431)
-    for _ in range(header_count):
-        name, value = reader.read_header_name(REQUEST_HEADERS), reader.read_string()
-        if name in headers:
-            if name == b"content-length":
-                raise MalformedMessageError("repeated content-length")
-            value = headers[name] + b", " + value
-        headers[name] = value
+    headers = read_request_headers(reader)
     attributes: dict[str, bytes] = {}
     while (code := reader.read_byte()) != REQUEST_TERMINATOR:
         if code == REQ_ATTRIBUTE:
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -20,7 +20,7 @@
 both_fronts = pytest.mark.parametrize("front", CLIENTS)
 
 
-# ---- requests that a client has left behind ---------------------------------------------------
+# ---- requests on a closed connection -----------------------------------------------------------
 
 
 # Guards against: runs, also of requests with effects, for which nobody waits any more.
--- a/tests/test_receive_memory.py
+++ b/tests/test_receive_memory.py
@@ -43,7 +43,7 @@
     def held_bytes(self) -> int:
         return self.size
 
-    def awaits_request(self) -> bool:
+    def is_awaiting_request(self) -> bool:
         return not self.is_busy
 
     def on_memory_shortage(self) -> None:
--- a/tests/test_retry_admission.py
+++ b/tests/test_retry_admission.py
@@ -80,7 +80,7 @@
             assert await s.status(3, key="k2") == 503
             assert await s.status(4, "read") == 503
             assert await s.status(5, key="k1") == 200
-            assert s.pool.spawned == [b"%016x" % 1] and s.controller.unread_count == 2
+            assert s.pool.spawned == [b"%016x" % 1] and s.controller.counts.unread == 2
 
     asyncio.run(run_scenario())
 
