Tests: the play of a pool that reports no run's end uses settings that allow Back-Off-Ms

Cause: test_each_request_is_answered_once_and_in_time_although_the_pool_reports_no_run_end asserts Back-Off-Ms on every 503, while its settings had no retryAfter, so the decision module sends none.

Change: the settings allow 1 s; the assertions are the same, and hold now for the module's rejections too.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -16,7 +16,7 @@
 
 from saltcart.deployment import AjpSettings, Deployment
 from saltcart.net.listener import Listener
-from tests.standins import CLIENTS, HttpClient, Pool, Server, encode_id, raw_config, running, until
+from tests.standins import CLIENTS, SETTINGS, HttpClient, Pool, Server, encode_id, raw_config, running, until
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -193,9 +193,10 @@
 
 def test_each_request_is_answered_once_and_in_time_although_the_pool_reports_no_run_end() -> None:
     """Guards against requests that stay open as no run ever ends; rejections carry Back-Off-Ms."""
+    settings = {**SETTINGS, "limits": {"retryAfter": True, "maxRetryAfter": 1.0}}
 
     async def scenario() -> None:
-        async with Pool(finishes_runs=False) as pool, running(pool=pool.address) as app:
+        async with Pool(finishes_runs=False) as pool, running(pool=pool.address, settings=settings) as app:
             clients = [await HttpClient(app.addresses["http"]).open() for _ in range(120)]
             responses = await asyncio.gather(
                 *(
