--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -73,7 +73,6 @@
         self.timers = Timers()
         self.ports = Ports()
         self.longest_deadline = max(spec.deadline for spec in settings.classes)
-        self.max_request_age = max(MAX_REQUEST_AGE_SECONDS, 2 * self.longest_deadline)
         self._create_components(max_key_bytes, max_run_ids)
         # Creates the retry-storm control when the pool is up, from the settings and the start time.
         self.make_storm_control: Callable[[Settings, float], RetryStormControl] | None = None
@@ -83,6 +82,7 @@
         self.metric_sources: list[Callable[[], Iterable[tuple[str, int]]]] = []
 
     def _create_components(self, max_key_bytes: int, max_run_ids: int) -> None:
+        self.max_request_age = max(MAX_REQUEST_AGE_SECONDS, 2 * self.longest_deadline)
         self.run_ids = RunIds(self.max_request_age, max_run_ids)
         # An attempt may be read as late as its caller can still wait, which the longest deadline bounds.
         self.keys = KeyTable(max_key_bytes, self.longest_deadline)
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -20,10 +20,10 @@
 both_fronts = pytest.mark.parametrize("front", CLIENTS)
 
 
-# ---- requests on a closed connection -----------------------------------------------------------
+# ---- closed connections ------------------------------------------------------------------------
 
 
-# Guards against: runs, also of requests with effects, for which nobody waits any more.
+# Guards against: runs, also with effects, of requests whose client has closed the connection.
 @both_fronts
 @pytest.mark.parametrize("ending", ["closes", "resets"])
 def test_requests_that_are_unread_when_their_client_leaves_do_not_run(front: str, ending: str) -> None:
