Retry storms: an AJP ping no longer admits the request that follows it

Operators would see: more requests read in a storm than the bucket gives out, from gateways that ping before each one.

Cause: a CPing is admitted without a token, and the connection kept that decision until the next response.

Result: test_a_ping_does_not_admit_the_request_that_follows_it got 200 before and gets 503.

--- a/saltcart/front/ajp.py
+++ b/saltcart/front/ajp.py
@@ -54,6 +54,7 @@
                 return False
             case ajp.CPing():
                 self.send(ajp.CPONG_PACKET)
+                self.admission.next_request()
                 self.mark_idle()
             case ajp.GetBodyChunkPacket(data):
                 self.send(data)
--- a/tests/test_retry_admission.py
+++ b/tests/test_retry_admission.py
@@ -16,8 +16,9 @@
 from saltcart.deployment import AjpSettings, Deployment
 from saltcart.retry_storm.controller import RetryStormController
 from saltcart.retry_storm.settings import StormSettings
+from saltcart.wire import ajp
 from tests.fakes import SETTINGS, ServiceHarness
-from tests.standins import CLIENTS, HttpClient, Pool, running, until
+from tests.standins import CLIENTS, AjpClient, HttpClient, Pool, running, until
 
 STORM_DEPLOYMENT = Deployment(ajp=AjpSettings("127.0.0.1:0"), storm=StormSettings())
 both_fronts = pytest.mark.parametrize("front", CLIENTS)
@@ -47,8 +48,10 @@
 
     def reject_unread(self) -> None:
         """Empty the token bucket and stop its refill."""
-        self.controller.token_bucket.tokens = 0.0
-        self.controller.token_bucket.capacity = lambda now: 0.001
+        token_bucket = self.controller.token_bucket
+        token_bucket.tokens = 0.0
+        token_bucket.filled_at = self.app.service.clock.read_seconds()
+        token_bucket.capacity = lambda now: 0.001
 
 
 def encode_request(client: HttpClient, number: int, key: str) -> bytes:
@@ -172,6 +175,20 @@
     asyncio.run(run_scenario())
 
 
+# Guards against: gateways that ping before each request, and so pass the limit of requests that are read.
+def test_a_ping_does_not_admit_the_request_that_follows_it() -> None:
+    async def run_scenario() -> None:
+        async with site("ajp") as s:
+            s.reject_unread()
+            client = await s.client()
+            client.writer.write(ajp.CPING_PACKET)
+            assert isinstance(client, AjpClient) and isinstance(await client.read_message(), ajp.CPong)
+            assert (await client.post(1)).status == 503
+            assert not s.pool.spawned
+
+    asyncio.run(run_scenario())
+
+
 # ---- which requests may have run -------------------------------------------------------------
 
 
