Parsers: a request whose body is at hand is read once, over AJP as over HTTP

Cause: since unfinished requests are kept as bytes, every AJP request with a body had its fields read twice, as its head and its body are packets of their own, and an HTTP head was copied twice.

Change: AjpRequestParser keeps the fields as long as packets are at hand, and drops them when it has to wait. The HTTP head is consumed without a second copy; the check of a request line has a name of its own.

A new test holds that the fields are not kept while a body is awaited.

--- a/saltcart/wire/ajp.py
+++ b/saltcart/wire/ajp.py
@@ -320,9 +320,10 @@
             secret: If not empty, requests that do not carry it are malformed (status 403).
         """
         self.max_body_bytes, self.secret = max_body_bytes, secret
-        # The payload of a request whose body has not arrived completely.  Its fields are read again then,
-        # because they would use several times its memory.
+        # The payload of a request whose body has not arrived completely, and its fields.  These use several
+        # times its memory, so they are not kept while the body is awaited, but read again.
         self.incomplete_request: bytes | None = None
+        self.incomplete_fields: ForwardRequest | None = None
         self.body_length = 0  # bytes, of the incomplete request; -1 if the request does not state a length
         self.body = bytearray()
 
@@ -332,6 +333,12 @@
         Raises:
             MalformedMessageError: The data is malformed; the parser must not be used again.
         """
+        message = self._next_message(buffer)
+        if message is None:
+            self.incomplete_fields = None
+        return message
+
+    def _next_message(self, buffer: Buffer) -> ForwardRequest | CPing | GetBodyChunkPacket | None:
         while (payload := take_packet(buffer, TO_CONTAINER)) is not None:
             message: ForwardRequest | GetBodyChunkPacket | None
             if self.incomplete_request is not None:
@@ -372,8 +379,9 @@
         return request
 
     def discard(self) -> None:
-        """Drop the incomplete request; the parser must not be used again."""
-        self.incomplete_request, self.body = None, bytearray()
+        """Drop the incomplete request."""
+        self.incomplete_request = self.incomplete_fields = None
+        self.body = bytearray()
 
     def held_bytes(self) -> int:
         """Return the size of the incomplete request so far, which is no longer in the buffer."""
@@ -394,11 +402,10 @@
         )
         if not is_unknown_length and not int(length):
             return request
-        self.incomplete_request, self.body_length, self.body = (
-            payload,
-            -1 if is_unknown_length else int(length),
-            bytearray(),
-        )
+        self.incomplete_request = payload
+        self.incomplete_fields = request
+        self.body_length = -1 if is_unknown_length else int(length)
+        self.body = bytearray()
         # If the length is known, the web server sends the first body packet without GET_BODY_CHUNK;
         # otherwise it sends none before it receives one.
         return GetBodyChunkPacket(encode_get_body_chunk(self.max_body_bytes)) if is_unknown_length else None
@@ -415,9 +422,9 @@
         if len(self.body) > (self.max_body_bytes if self.body_length < 0 else self.body_length):
             raise MalformedMessageError("body too long", 413)
         if len(self.body) == self.body_length or (self.body_length < 0 and not data):
-            request = self._read_request(self.incomplete_request)
+            request = self.incomplete_fields or self._read_request(self.incomplete_request)
             request.body = bytes(self.body)
-            self.incomplete_request, self.body = None, bytearray()
+            self.discard()
             return request
         if not data:
             raise MalformedMessageError("body cut short")
--- a/saltcart/wire/http1.py
+++ b/saltcart/wire/http1.py
@@ -126,14 +126,23 @@
     return MessageHead(first_line.split(b" "), parse_headers(lines))
 
 
-def path_of(words: list[bytes]) -> bytes:
-    """Return the path that a request line names, without its query.
+def check_request_line(words: list[bytes]) -> None:
+    """Check the method and the target of a request line, given by its words.
 
     Raises:
         MalformedMessageError: The line has another form.
     """
     if len(words) != 3 or not TOKEN.match(words[0]) or not words[1].startswith(b"/"):
         raise MalformedMessageError("request line")
+
+
+def path_of(words: list[bytes]) -> bytes:
+    """Return the path that a request line names, without its query.
+
+    Raises:
+        MalformedMessageError: The line has another form.
+    """
+    check_request_line(words)
     return words[1].partition(b"?")[0]
 
 
@@ -163,9 +172,11 @@
         head = None if self.head_length else self._check_head(buffer)
         if not self.head_length or len(buffer) < self.head_length + self.body_length:
             return None
-        raw_head = buffer.take(self.head_length)
+        if head is None:
+            head = parse_head(buffer.peek(self.head_length))
+        buffer.consume(self.head_length)
         self.head_length = self.searched_bytes = 0
-        return head or parse_head(raw_head), buffer.take(self.body_length)
+        return head, buffer.take(self.body_length)
 
     def _check_head(self, buffer: Buffer) -> MessageHead | None:
         """Return the head of the next message, whose lengths are then known; None while it is incomplete."""
@@ -220,7 +231,7 @@
         if message is None:
             return None
         (words, headers), body = message
-        path_of(words)
+        check_request_line(words)
         if words[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
             raise MalformedMessageError("version", 505)
         return HttpRequest(words[0], words[1], headers, body, is_keep_alive(words[2], headers))
--- a/tests/test_receive_memory.py
+++ b/tests/test_receive_memory.py
@@ -182,6 +182,18 @@
     assert request.headers[b"x-49"] == b"v" * HEADER_BYTES and len(buffer) == 0
 
 
+def test_the_fields_of_an_incomplete_ajp_request_are_not_kept() -> None:
+    buffer, parser = Buffer(2048, limit=16384), ajp.AjpRequestParser(BODY_BYTES)
+    buffer.write(incomplete_ajp_request(1))
+    while isinstance(parser.next(buffer), ajp.GetBodyChunkPacket):
+        pass
+    assert parser.incomplete_request is not None and parser.incomplete_fields is None
+    buffer.write(ajp.encode_body_packet(b"x"))
+    request = parser.next(buffer)
+    assert isinstance(request, ajp.ForwardRequest) and request.body == b"x" * BODY_BYTES
+    assert request.headers[b"x-49"] == b"v" * HEADER_BYTES and parser.held_bytes() == 0
+
+
 # Guards against: requests behind an open one that fill a buffer of 16 KiB on each connection.
 def test_little_is_read_ahead_of_an_open_request_and_all_of_it_is_served() -> None:
     async def run_scenario() -> None:
