--- a/saltcart/admin/server.py
+++ b/saltcart/admin/server.py
@@ -8,9 +8,6 @@
 from saltcart.wire.errors import MalformedMessageError
 
 MAX_BODY_BYTES = 65536
-MAX_REQUESTS_PER_ITERATION = (
-    8  # of one connection, so that a flood on it does not delay the service's clients
-)
 
 
 class AdminConnection(ServerConnection):
@@ -25,8 +22,8 @@
         """Respond to the requests that have arrived whole, some in each iteration of the event loop."""
         self.mark_awaiting_request()
         try:
-            for _ in range(MAX_REQUESTS_PER_ITERATION):
-                if not self._can_respond():
+            for _ in range(self.MAX_REQUESTS_PER_ITERATION):
+                if not self.can_respond():
                     break
                 request = self.parser.next(self.buffer)
                 if request is None:
@@ -38,11 +35,6 @@
             self.transport.pause_reading()
             self._continue_later()
 
-    def _can_respond(self) -> bool:
-        """Whether the connection is open and its client reads the responses."""
-        is_open = self.transport is not None and not self.transport.is_closing()
-        return is_open and not self.is_ending and self not in self.listener.write_blocked
-
     def _respond(self, request: http1.HttpRequest) -> None:
         self.mark_idle()
         status, body, headers = self.api.handle(
@@ -62,7 +54,7 @@
         self.listener.loop.call_soon(self._continue)
 
     def _continue(self) -> None:
-        if self.transport is None or not self._can_respond():
+        if self.transport is None or not self.can_respond():
             return
         self.transport.resume_reading()
         if len(self.buffer):
--- a/saltcart/core/messages.py
+++ b/saltcart/core/messages.py
@@ -56,3 +56,11 @@
     resource_key: str | None = None
     admitted_last: bool = False  # ranked after others, since its source exceeds its fair share
     body: bytes = b""
+
+    def arrival_time(self, now: float) -> float:
+        """Return the time by which the request's key is looked up, on the clock of ``now``.
+
+        It is not in the future, so a sender whose clock is ahead can't move an attempt past the end of a key
+        window.
+        """
+        return min(now, self.received_at)
--- a/saltcart/core/request.py
+++ b/saltcart/core/request.py
@@ -77,9 +77,7 @@
         self.inbound = inbound
         self.spec = spec
         self.due_at = due_at
-        # The key is looked up by this time, so a sender whose clock is ahead can't move an attempt past the
-        # end of a key window.
-        self.arrived_at = min(now, inbound.received_at)
+        self.arrived_at = inbound.arrival_time(now)
         self.respond: ResponseCallback | None = respond  # None once it has its response or was abandoned
         self.phase = HELD
         self.stop_requested = False
--- a/saltcart/core/run_lookup.py
+++ b/saltcart/core/run_lookup.py
@@ -44,7 +44,7 @@
         """
         if not self.is_keyed(inbound.class_name) or inbound.idempotency_key is None:
             return False
-        arrived_at = min(self.clock.read(), inbound.received_at)
+        arrived_at = inbound.arrival_time(self.clock.read())
         key = (inbound.account, inbound.class_name, inbound.idempotency_key)
         record = self.keys.find(key, arrived_at)
         if record is None:
--- a/saltcart/front/connection.py
+++ b/saltcart/front/connection.py
@@ -18,7 +18,6 @@
 MIN_IDLE_TIMEOUT_SECONDS = 0.25
 READ_AHEAD_BYTES = 1024  # read of the next request while one is open
 WRITE_BUFFER_BYTES = 16384  # of responses that the client has not read; more than one response may have
-MAX_REQUESTS_PER_ITERATION = 8  # of one connection, so that a flood on it does not delay the others
 HeaderFields = tuple[tuple[str, str], ...]
 
 
@@ -133,12 +132,7 @@
 
         Requests are read one at a time, and none from a client that does not read its responses.
         """
-        return (
-            not self.has_open_request
-            and self not in self.listener.write_blocked
-            and not self.is_ending
-            and (self.transport is not None and not self.transport.is_closing())
-        )
+        return not self.has_open_request and self.can_respond()
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process the bytes that asyncio has received into the buffer."""
@@ -160,7 +154,7 @@
                     self.transport.pause_reading()
                 return
         try:
-            for _ in range(MAX_REQUESTS_PER_ITERATION):
+            for _ in range(self.MAX_REQUESTS_PER_ITERATION):
                 if not self.can_read_request():
                     break
                 if not self.admit_request() or not self.read_message():
--- a/saltcart/net/listener.py
+++ b/saltcart/net/listener.py
@@ -26,6 +26,8 @@
     """
 
     IDLE_BUFFER_BYTES = 2048  # capacity that the buffer of an idle connection keeps
+    # Of one connection, so that a flood on it does not delay the others.
+    MAX_REQUESTS_PER_ITERATION = 8
     LINGER_SECONDS = 0.2  # for a client that is still sending to read why it was cut off
 
     def __init__(self, listener: Listener, limit: int = 16384) -> None:
@@ -115,6 +117,11 @@
             except OSError:  # the peer has just reset the connection
                 self.abort()
 
+    def can_respond(self) -> bool:
+        """Whether the connection is open and its client reads the responses."""
+        is_open = self.transport is not None and not self.transport.is_closing()
+        return is_open and not self.is_ending and self not in self.listener.write_blocked
+
     def peer_has_closed(self) -> bool:
         """Whether the peer has closed or reset the connection, even if bytes before that are still unread."""
         if self.transport is None or self.transport.is_closing():
--- a/saltcart/wire/handover.py
+++ b/saltcart/wire/handover.py
@@ -20,12 +20,10 @@
 MAX_PACKET_BYTES = 65536
 REQUEST_ID_BYTES = 16
 MAX_IDS_PER_PACKET = 2048
+REQUEST_IDS = re.compile(rb"(?:[0-9a-fA-F]{16})*")
 MAX_NUMBER = 1e12  # protects the decision module from unusable numbers sent by another release
 
 
-HEX_DIGITS = re.compile(rb"[0-9a-fA-F]*")
-
-
 class PacketKind(enum.StrEnum):
     """The kind of a packet.  A successor ignores other kinds, which only later releases send."""
 
@@ -196,7 +194,7 @@
         MalformedMessageError: The data is not a sequence of ids.
     """
     data = packet.data
-    if len(data) % REQUEST_ID_BYTES or HEX_DIGITS.fullmatch(data) is None:
+    if REQUEST_IDS.fullmatch(data) is None:
         raise MalformedMessageError(f"handover: {len(data)} bytes are not ids of 16 hex digits")
     return [data[start : start + REQUEST_ID_BYTES] for start in range(0, len(data), REQUEST_ID_BYTES)]
 
