Takeover: a drain by operators holds for every process, whichever of them is called

Cause: the drain was a state of each process. ControlConnection.execute set it in its own, and Successor._send_withdrawn reported it from the old process to the new one only, and only a change of the old one's own state. Lost were a call at a process that does not serve yet, a call at either end of a lost link, and a second drain-on at the old process after a drain-off at the new one. Ruled out: a late answer of the old process, and a lost link, which was open in the case.

Change: the processes share one byte of a file beside the handover socket and look at it every 0.05 s, half of the interval of health checks. The last write holds, so that all agree on the order of calls, with any number of processes and without a link. A lock on the byte at the offset of its process id tells that a process reads the file. A living process of an earlier release that can't be told is named in the operator's answer, ERR in place of a bare OK. An earlier release at the successor's end is told by the packet as before, now at each call. A file that an instance has left behind is void. On the same path: a process that watches a later one after the middle one has died no longer sends it packets.

--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -195,7 +195,7 @@
         """Open the operators' front."""
         listener = Listener(
             address,
-            lambda owner: ControlConnection(owner, self.service, self.is_ready),
+            lambda owner: ControlConnection(owner, self.service, self.is_ready, self.set_withdrawn),
             lambda: OPERATOR_IDLE_SECONDS,
             max_connections,
         )
@@ -329,6 +329,17 @@
         """Whether this process can serve requests."""
         return self.service.controller is not None and bool(self.fronts)
 
+    def set_withdrawn(self, is_withdrawn: bool) -> None:
+        """Withdraw the instance for operators, or end that, at all of its processes.
+
+        Raises:
+            DrainNotSharedError: It holds at this process, but others could not be told.
+        """
+        if self.takeover is None:
+            self.service.set_withdrawn(is_withdrawn)
+        else:
+            self.takeover.operator_drain.set(is_withdrawn)
+
     def begin_drain(self, on_finished: Callable[[], None] = lambda: None, notice_age: float = 0.0) -> None:
         """Drain, before the process is stopped.
 
--- a/saltcart/core/draining.py
+++ b/saltcart/core/draining.py
@@ -7,6 +7,19 @@
 STOP_MARGIN_SECONDS = 0.12  # before the process is stopped; every response is sent by then
 
 
+class DrainNotSharedError(Exception):
+    """A drain by operators, or its end, holds at this process, but other processes could not be told.
+
+    Attributes:
+        process_ids: The ids of those processes, 0 for one that can't be seen from here.
+    """
+
+    def __init__(self, process_ids: list[int]) -> None:
+        self.process_ids = process_ids
+        names = " and ".join(f"process {number or 'of unknown id'}" for number in process_ids)
+        super().__init__(f"{names} could not be told")
+
+
 class DrainState:
     """The drain before a stop, and the withdrawal from the endpoint list by operators."""
 
--- a/saltcart/front/control.py
+++ b/saltcart/front/control.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from saltcart.core.draining import DrainNotSharedError
 from saltcart.core.service import Service
 from saltcart.net.listener import Listener, ServerConnection
 from saltcart.wire.control import format_metric, take_command
@@ -17,16 +18,24 @@
 class ControlConnection(ServerConnection):
     """An operator's connection."""
 
-    def __init__(self, listener: Listener, service: Service, is_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        listener: Listener,
+        service: Service,
+        is_ready: Callable[[], bool],
+        set_withdrawn: Callable[[bool], None],
+    ) -> None:
         """Create a connection.
 
         Args:
             listener: The listener that accepted the connection.
             service: The service to control.
             is_ready: Returns whether the server can serve requests.
+            set_withdrawn: Withdraws the instance for operators, or ends that; raises ``DrainNotSharedError``
+                if other processes of the instance could not be told.
         """
         super().__init__(listener, limit=4096)
-        self.service, self.is_ready = service, is_ready
+        self.service, self.is_ready, self.set_withdrawn = service, is_ready, set_withdrawn
 
     def received(self) -> None:
         """Execute the command once its line is complete, and end the connection with the response."""
@@ -48,10 +57,16 @@
             case "vars":
                 return self.format_metrics()
             case "drain-on" | "drain-off":
-                self.service.set_withdrawn(command == "drain-on")
-                return f"OK {command}\n"
+                return self._change_drain(command)
         return "ERR no such call\n"
 
+    def _change_drain(self, command: str) -> str:
+        try:
+            self.set_withdrawn(command == "drain-on")
+        except DrainNotSharedError as error:
+            return f"ERR {command} holds at this process, but {error}\n"
+        return f"OK {command}\n"
+
     def format_metrics(self) -> str:
         """Return all metrics of all classes, including those that are 0, followed by an END line."""
         counts, lines = self.service.counters.by_class(), list[str]()
--- a/saltcart/net/handover.py
+++ b/saltcart/net/handover.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from saltcart.net.peer_process import PeerProcess
+from saltcart.net.peer_process import PeerProcess, read_peer_process_id
 from saltcart.wire.errors import MalformedMessageError
 from saltcart.wire.handover import MAX_PACKET_BYTES, HandoverPacket, decode, encode
 
@@ -47,6 +47,7 @@
         self.on_peer_ended: Callable[[], None] = lambda: None
         self.is_open = True
         self.peer = PeerProcess.find(link_socket)
+        self.peer_process_id = read_peer_process_id(link_socket)  # 0 if it is not visible from here
         self.grace_timer: asyncio.TimerHandle | None = None
         link_socket.setblocking(False)
         link_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
--- a/saltcart/net/peer_process.py
+++ b/saltcart/net/peer_process.py
@@ -11,6 +11,14 @@
 CREDENTIALS_FORMAT = "3i"  # process id, user id and group id; see unix(7), SO_PEERCRED
 
 
+def read_peer_process_id(connected_socket: socket.socket) -> int:
+    """Return the id of the process at the other end of a Unix socket, 0 if it is not visible from here."""
+    size = struct.calcsize(CREDENTIALS_FORMAT)
+    credentials = connected_socket.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, size)
+    process_id, _, _ = struct.unpack(CREDENTIALS_FORMAT, credentials)
+    return int(process_id)
+
+
 class PeerProcess:
     """A process known by a descriptor that becomes readable when it ends; see pidfd_open(2).
 
@@ -30,9 +38,7 @@
             The process, or None if it can't be watched: it has ended, it is not visible from here, the system
             has no such descriptors, or it is this process itself.
         """
-        size = struct.calcsize(CREDENTIALS_FORMAT)
-        credentials = connected_socket.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, size)
-        process_id, _, _ = struct.unpack(CREDENTIALS_FORMAT, credentials)
+        process_id = read_peer_process_id(connected_socket)
         if process_id <= 0 or process_id == os.getpid():
             return None
         try:
--- a/saltcart/takeover/hot_restart.py
+++ b/saltcart/takeover/hot_restart.py
@@ -13,6 +13,7 @@
 from saltcart.net.handover import HandoverLink, HandoverListener
 from saltcart.net.index import IndexClient
 from saltcart.net.listener import Listener
+from saltcart.takeover.operator_drain import OperatorDrain
 from saltcart.takeover.predecessor import Predecessor
 from saltcart.takeover.successor import Successor
 from saltcart.takeover.timing import POLL_INTERVAL_SECONDS
@@ -65,6 +66,8 @@
         self.handover_listener = HandoverListener(folder, f"saltcart-{name}", self._on_connected)
         self.predecessor = Predecessor(service, log, fronts, index)
         self.successor = Successor(service, log, fronts)
+        self.operator_drain = OperatorDrain(folder, name, service, log, self.predecessor, self.successor)
+        self.operator_drain.start()
         self.is_serving = False  # the fronts are open, and no successor has taken over
         self.waiting_link: HandoverLink | None = None  # to a process that requested the takeover before that
         self.retired_at: float | None = None  # time of the drain notice, if it came after the handover
@@ -141,7 +144,7 @@
         if self.announcer is not None:
             self.announcer.close()  # the successor's reports now keep the entry in the endpoint list
         self.on_handed_over()
-        self.successor.hand_over(link)
+        self.successor.hand_over(link, shares_drain=self.operator_drain.file is not None)
 
     def _on_successor_link_lost(self, link: HandoverLink) -> None:
         """Leave serving to a successor that still runs, although no connection or key can be passed to it."""
@@ -164,8 +167,7 @@
             await self._serve_again()
             return
         self.log("takeover-replaced")
-        self.successor.link = link
-        self.successor.end_connections()
+        self.successor.watch(link)
         self._watch_successor(link)
 
     async def _find_serving_process(self) -> HandoverLink | None:
@@ -253,6 +255,7 @@
         """Close both links and the socket, because this process ends."""
         self.is_closed = True
         self.handover_listener.close()
+        self.operator_drain.close()
         self.predecessor.close()
         self.successor.close()
         for link in self.accepted_links:
--- a/saltcart/takeover/predecessor.py
+++ b/saltcart/takeover/predecessor.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+from collections.abc import Callable
 
 from saltcart.core.ports import Log
 from saltcart.core.service import Service
@@ -14,7 +15,7 @@
 from saltcart.takeover.timing import POLL_INTERVAL_SECONDS
 from saltcart.wire import handover as wire
 from saltcart.wire.errors import MalformedMessageError
-from saltcart.wire.handover import HandoverPacket, PacketKind
+from saltcart.wire.handover import HandoverPacket, PacketKind, ReportedDrain
 
 # After this timeout, the successor serves without the keys of a predecessor that hasn't handed over.
 HANDOVER_TIMEOUT_SECONDS = 4.0
@@ -46,6 +47,8 @@
         self.has_unread_key = False  # a key that it sent could not be read
         self.connection_count = 0  # client connections that it still has
         self.attach_tasks = set[asyncio.Task[None]]()
+        # Called with a drain by operators, or its end, at the predecessor.
+        self.on_drain_reported: Callable[[ReportedDrain], None] = lambda report: None
 
     async def take_over(self, link: HandoverLink, pool_is_up: asyncio.Event) -> None:
         """Take over from the predecessor as soon as this process can serve.
@@ -115,7 +118,7 @@
             case PacketKind.REQUEST_IDS:
                 self.service.adopt_request_ids(wire.read_request_ids(packet))
             case PacketKind.WITHDRAWN:
-                self.service.set_withdrawn(wire.read_withdrawn(packet))
+                self.on_drain_reported(wire.read_drain(packet))
             case PacketKind.CONNECTION if descriptor is not None:
                 self.set_connection_count(max(0, self.connection_count - 1))
                 self._start_attaching(packet, descriptor)
--- a/saltcart/takeover/successor.py
+++ b/saltcart/takeover/successor.py
@@ -28,33 +28,54 @@
         self.fronts = fronts
         # Set while a successor serves, even if the link to it was lost.
         self.link: HandoverLink | None = None
+        self.reads_reports = (
+            False  # this process has handed over on the link; otherwise it only watches the peer
+        )
         # The load and the number of client connections.
         self.last_sent_load: tuple[PredecessorLoad, int] | None = None
-        self.last_sent_withdrawn = False
         self.next_batch_timer: asyncio.TimerHandle | None = None
 
-    def hand_over(self, link: HandoverLink) -> None:
-        """Send all keys, stop accepting connections and start to pass the open ones."""
+    def hand_over(self, link: HandoverLink, *, shares_drain: bool) -> None:
+        """Send all keys, stop accepting connections and start to pass the open ones.
+
+        Args:
+            link: The link to the successor.
+            shares_drain: Whether a drain by operators is in the drain file.
+        """
         self.link = link
+        self.reads_reports = True
         self.last_sent_load = None
-        self.last_sent_withdrawn = False
         for record in self.service.lifecycle.attempts.hand_over(self._send_key):
             self._send_key(record, False)
         for packet in wire.request_id_packets(self.service.used_request_ids()):
-            link.send(packet)
+            self._send(packet)
         self._send_load()
-        self._send_withdrawn()
+        if self.service.drain.is_withdrawn:
+            self.report_drain(is_shared=shares_drain)
         seconds_ahead = self.service.clock.seconds_ahead()
-        link.send(wire.handed_over_packet(self.service.keys_uncertain_until(), seconds_ahead))
+        self._send(wire.handed_over_packet(self.service.keys_uncertain_until(), seconds_ahead))
         for listener in self.fronts.values():
             listener.stop_accepting()
             listener.pass_connection = self._pass_connection
         self.log("handed-over", open=len(self.service.requests), keys=len(self.service.keys))
         self._pass_connections()
 
+    def watch(self, link: HandoverLink) -> None:
+        """Watch a process that has taken over from the successor, which has ended."""
+        self.link = link
+        self.reads_reports = False
+        self.end_connections()
+
+    def can_be_told(self) -> bool:
+        """Return whether packets reach the successor."""
+        return self.link is not None and self.link.is_open and self.reads_reports
+
+    def _send(self, packet: wire.HandoverPacket) -> None:
+        if self.link is not None and self.reads_reports:
+            self.link.send(packet)
+
     def _send_key(self, record: KeyRecord, is_free: bool) -> None:
-        if self.link is not None:
-            self.link.send(wire.key_packet(record, is_free, self.service.clock.seconds_ahead()))
+        self._send(wire.key_packet(record, is_free, self.service.clock.seconds_ahead()))
 
     def _send_load(self) -> None:
         """Report this process's load, if it changed, while both processes share the cores and the memory."""
@@ -62,14 +83,16 @@
         load = self.service.load(), connection_count
         if self.link is not None and load != self.last_sent_load:
             self.last_sent_load = load
-            self.link.send(wire.load_packet(*load))
+            self._send(wire.load_packet(*load))
 
-    def _send_withdrawn(self) -> None:
-        """Report that operators have withdrawn the instance, or ended that, at this process."""
-        is_withdrawn = self.service.drain.is_withdrawn
-        if self.link is not None and is_withdrawn != self.last_sent_withdrawn:
-            self.last_sent_withdrawn = is_withdrawn
-            self.link.send(wire.withdrawn_packet(is_withdrawn))
+    def report_drain(self, *, is_shared: bool) -> None:
+        """Report whether operators have withdrawn the instance, for a successor that reads no drain file.
+
+        Args:
+            is_shared: Whether the drain file says the same.
+        """
+        report = wire.ReportedDrain(self.service.drain.is_withdrawn, is_shared)
+        self._send(wire.drain_packet(report))
 
     def _pass_connection(self, connection: ServerConnection, buffered_bytes: bytes) -> bool:
         """Pass a connection to the successor and close it here; return False if it can't be passed now."""
@@ -92,7 +115,6 @@
         passed_count = MAX_BATCH_CONNECTIONS  # an error with one connection must not stop the others
         try:
             self._send_load()
-            self._send_withdrawn()
             passed_count = self._pass_batch()
         finally:
             delay = BATCH_DELAY_SECONDS if passed_count == MAX_BATCH_CONNECTIONS else POLL_INTERVAL_SECONDS
--- a/saltcart/wire/handover.py
+++ b/saltcart/wire/handover.py
@@ -45,6 +45,13 @@
     data: bytes = b""
 
 
+class ReportedDrain(NamedTuple):
+    """A drain by operators, or its end, as the predecessor reports it."""
+
+    is_withdrawn: bool  # whether operators have withdrawn the instance
+    is_shared: bool  # whether the predecessor has written it to the drain file
+
+
 class PassedConnection(NamedTuple):
     """The state of a client connection when the predecessor passes it to the successor."""
 
@@ -199,21 +206,24 @@
     return [data[start : start + REQUEST_ID_BYTES] for start in range(0, len(data), REQUEST_ID_BYTES)]
 
 
-def withdrawn_packet(is_withdrawn: bool) -> HandoverPacket:
+def drain_packet(report: ReportedDrain) -> HandoverPacket:
     """Return the packet that reports whether operators have withdrawn the instance."""
-    return HandoverPacket(PacketKind.WITHDRAWN, {"on": is_withdrawn})
+    fields = {"on": report.is_withdrawn, "shared": report.is_shared}
+    return HandoverPacket(PacketKind.WITHDRAWN, fields)
 
 
-def read_withdrawn(packet: HandoverPacket) -> bool:
-    """Return whether operators have withdrawn the instance.
+def read_drain(packet: HandoverPacket) -> ReportedDrain:
+    """Read whether operators have withdrawn the instance.
+
+    Releases that share no drain file leave the field ``shared`` out.
 
     Raises:
-        MalformedMessageError: The field is missing or invalid.
+        MalformedMessageError: A field is missing or invalid.
     """
-    value = packet.fields.get("on")
-    if not isinstance(value, bool):
-        raise MalformedMessageError(f"handover: field on is {value!r}, not true or false")
-    return value
+    return ReportedDrain(
+        is_withdrawn=read_flag("on", packet.fields.get("on")),
+        is_shared=read_flag("shared", packet.fields.get("shared", False)),
+    )
 
 
 def connection_packet(connection: PassedConnection) -> HandoverPacket:
@@ -237,6 +247,21 @@
     )
 
 
+def read_flag(name: str, value: object) -> bool:
+    """Return the truth value in a field.
+
+    Args:
+        name: The name of the field.
+        value: Its value, which may be anything that JSON can express, or None if the field is missing.
+
+    Raises:
+        MalformedMessageError: The value is not true or false.
+    """
+    if not isinstance(value, bool):
+        raise MalformedMessageError(f"handover: field {name} is {value!r}, not true or false")
+    return value
+
+
 def read_number(name: str, value: object) -> float:
     """Return the number in a field.
 
