Administration: a change of an upstream moves no tenant that it does not name

Cause: the default upstream was the first entry of a dictionary. Upstreams.set_upstream removed the replaced one and added it again, at the end; Registry.put_upstream did the same in the saved list, so that a restart kept the wrong one. delete_upstream counted only the tenants that name an upstream.

Change: what is replaced keeps its place; the default upstream is told to the connections by name; the API shows the tenants of each upstream, and refuses to delete one that serves any, with their names.

--- a/saltcart/admin/api.py
+++ b/saltcart/admin/api.py
@@ -268,6 +268,7 @@
                 }
                 for member in upstream.members
             ],
+            "tenants": self.registry.tenants_of(name),
         }
 
     def list_upstreams(self) -> Reply:
@@ -298,7 +299,7 @@
     def delete_upstream(self, name: str) -> Reply:
         """Remove an upstream that no tenant uses."""
         self._describe_upstream(name)
-        users = [tenant.name for tenant in self.registry.tenants.values() if tenant.upstream == name]
+        users = self.registry.tenants_of(name)
         if users:
             raise ApiError(409, f"upstream is in use by tenants: {', '.join(users)}")
         self.registry.remove_upstream(name)
--- a/saltcart/admin/registry.py
+++ b/saltcart/admin/registry.py
@@ -37,7 +37,8 @@
 
     Attributes:
         tenants: The current tenants by name.
-        upstreams: The current upstreams by name.
+        upstreams: The current upstreams by name.  The first one is the default: it runs the requests of the
+            tenants that name none, and stays the first one when it is replaced.
         on_tenant_removed: Called with the name of each tenant that has been removed.
     """
 
@@ -100,7 +101,8 @@
         Raises:
             InvalidFieldError: If the change is invalid; then nothing is changed.
         """
-        self._change([*self._others(self.tenants, tenant.name), tenant], [*self.upstreams.values()])
+        tenants = {**self.tenants, tenant.name: tenant}
+        self._change([*tenants.values()], [*self.upstreams.values()])
 
     def remove_tenant(self, name: str) -> None:
         """Remove a tenant."""
@@ -112,7 +114,8 @@
         Raises:
             InvalidFieldError: If the change is invalid; then nothing is changed.
         """
-        self._change([*self.tenants.values()], [*self._others(self.upstreams, upstream.name), upstream])
+        upstreams = {**self.upstreams, upstream.name: upstream}
+        self._change([*self.tenants.values()], [*upstreams.values()])
 
     def remove_upstream(self, name: str) -> None:
         """Remove an upstream.
@@ -122,6 +125,19 @@
         """
         self._change([*self.tenants.values()], self._others(self.upstreams, name))
 
+    @property
+    def default_upstream(self) -> str | None:
+        """The name of the upstream of the tenants that name none."""
+        return next(iter(self.upstreams), None)
+
+    def tenants_of(self, upstream: str) -> list[str]:
+        """Return the names of the tenants whose requests an upstream runs."""
+        return [
+            tenant.name
+            for tenant in self.tenants.values()
+            if (tenant.upstream or self.default_upstream) == upstream
+        ]
+
     def set_shares(self, shares: dict[str, float]) -> None:
         """Change several tenants' shares at once, as their sum must never exceed 1.
 
@@ -169,6 +185,7 @@
                     self.live_upstreams.set_upstream(upstream)
             for name in previous.keys() - self.upstreams.keys():
                 self.live_upstreams.remove_upstream(name)
+            self.live_upstreams.default_name = self.default_upstream
             for tenant in tenants:
                 self.live_upstreams.assign_tenant(tenant.name, tenant.upstream)
             for name in removed:
--- a/saltcart/deployment.py
+++ b/saltcart/deployment.py
@@ -75,7 +75,7 @@
     name: str
     share: float  # of the capacity, from 0 to 1
     quota: float  # requests per second over the whole fleet
-    upstream: str | None = None  # which runs its requests; None for the first one
+    upstream: str | None = None  # which runs its requests; None for the default one
 
 
 @dataclass(frozen=True, slots=True)
--- a/saltcart/net/upstreams.py
+++ b/saltcart/net/upstreams.py
@@ -13,7 +13,7 @@
 
 
 class Upstreams:
-    """Sends each run to its tenant's upstream, or to the first one if the tenant names none.
+    """Sends each run to its tenant's upstream, or to the default one if the tenant names none.
 
     Args:
         deployment: The upstreams, and the tenants with the upstreams that they name.
@@ -26,6 +26,7 @@
         self.events, self.log, self.cores = events, log, cores
         self.by_name: dict[str, AjpUpstream] = {}
         self.by_tenant: dict[str, str] = {}
+        self.default_name = deployment.upstreams[0].name if deployment.upstreams else None
         self.runs: dict[bytes, AjpUpstream] = {}  # runs in progress, by request id
         self.calls: dict[bytes, tuple[AjpUpstream, CallFinishedCallback]] = {}  # of composed runs, by call id
         for conf in deployment.upstreams:
@@ -37,8 +38,9 @@
 
     def set_upstream(self, conf: UpstreamConf) -> None:
         """Add an upstream, or replace one; runs in progress on the members of a replaced one end there."""
-        if conf.name in self.by_name:
-            self.remove_upstream(conf.name)
+        previous = self.by_name.get(conf.name)
+        if previous is not None:
+            previous.close()
         self.by_name[conf.name] = AjpUpstream(
             [AjpMember(m.host, m.weight, m.secret.encode()) for m in conf.members],
             self._run_finished,
@@ -59,7 +61,7 @@
             upstream.close()
 
     def assign_tenant(self, tenant: str, upstream: str | None) -> None:
-        """Send further runs of a tenant to an upstream; None for the first one."""
+        """Send further runs of a tenant to an upstream; None for the default one."""
         if upstream is None:
             self.by_tenant.pop(tenant, None)
         else:
@@ -78,8 +80,8 @@
         time_to_objective: float,
     ) -> None:
         """Start a run on the account's upstream."""
-        name = self.by_tenant.get(account)
-        upstream = self.by_name.get(name) if name else next(iter(self.by_name.values()), None)
+        name = self.by_tenant.get(account, self.default_name)
+        upstream = None if name is None else self.by_name.get(name)
         if upstream is None:
             self.events.run_finished(request_id, Outcome.NOT_STARTED, 0.0, b"")
             return
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -84,6 +84,53 @@
     asyncio.run(run_scenario())
 
 
+def test_tenants_that_name_no_upstream_keep_theirs_over_changes_and_a_restart(tmp_path: Path) -> None:
+    # Guards against a run at another tenant's servers after a change of the first upstream (review/6).
+    def container(name: bytes) -> AjpServer:
+        async def respond(_: ajp.ForwardRequest) -> bytes:
+            return encode_container_response(200, name)
+
+        return AjpServer(respond)
+
+    async def run_scenario() -> None:
+        state = tmp_path / "state.json"
+        async with container(b"one") as one, container(b"two") as two:
+
+            def members(server: AjpServer, weight: float) -> dict[str, Any]:
+                return {"members": [{"host": server.address, "weight": weight}]}
+
+            async with running(deployment(state)) as app:
+                admin = await HttpClient(app.addresses["admin"]).open()
+                client = await HttpClient(app.addresses["http"]).open()
+                for name, server in (("u1", one), ("u2", two)):
+                    value = {"name": name, **members(server, 1.0)}
+                    assert (await send(admin, "POST", "/v1/upstreams", value))[0] == 201
+                other = {"name": "other", "upstream": "u2"}
+                assert (await send(admin, "PUT", "/v1/shares", {"acme": 0.5}))[0] == 200
+                assert (await send(admin, "POST", "/v1/tenants", other))[0] == 201
+                for method, path, value in (
+                    ("PUT", "/v1/upstreams/u1", members(one, 2.0)),
+                    ("PUT", "/v1/upstreams/u2", members(two, 2.0)),
+                    ("PATCH", "/v1/tenants/acme", {"quota": 70}),
+                ):
+                    assert (await send(admin, method, path, value))[0] == 200
+                    number = len(one.received_requests) + 1
+                    assert (await client.post(number, account="acme")).body == b"one"
+                _, shown = await send(admin, "GET", "/v1/upstreams")
+                assert {item["name"]: item["tenants"] for item in shown} == {"u1": ["acme"], "u2": ["other"]}
+                status, error = await send(admin, "DELETE", "/v1/upstreams/u1")
+                assert status == 409 and "acme" in error["error"]
+            async with running(deployment(state)) as app:
+                admin = await HttpClient(app.addresses["admin"]).open()
+                client = await HttpClient(app.addresses["http"]).open()
+                assert (await client.post(1, account="acme")).body == b"one"
+                assert (await send(admin, "PATCH", "/v1/tenants/acme", {"upstream": "u2"}))[0] == 200
+                assert (await send(admin, "DELETE", "/v1/upstreams/u1"))[0] == 204
+                assert (await client.post(2, account="acme")).body == b"two"
+
+    asyncio.run(run_scenario())
+
+
 @pytest.mark.parametrize(
     ("method", "path", "value", "status"),
     [
