Takeover: the newest process counts the load of all older ones, also ended ones

Cause: each process reported its own load to the next one, so the third knew that of the second alone; and what the second had reported was forgotten when it ended. With three upgrades in a row, also: a process that reaches its time limit ends while its runs go on in its pool, and these were forgotten with it.

Change: a report holds the load of a process and of those before it, in the fields that earlier releases read, with the part of the older ones in a field of its own. The oldest reports to the newest by the link on which it watches it, if that one is of a release that reads it. Runs of a process that has ended count for the longest latency objective.

--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -73,6 +73,7 @@
         self.timers = Timers()
         self.ports = Ports()
         self.longest_deadline = max(spec.deadline for spec in settings.classes)
+        self.longest_objective = max(spec.latency_objective for spec in settings.classes)
         self._create_components(max_key_bytes, max_run_ids)
         # Creates the retry-storm control when the pool is up, from the settings and the start time.
         self.make_storm_control: Callable[[Settings, float], RetryStormControl] | None = None
@@ -280,15 +281,10 @@
         return until if until > self.clock.read() else None
 
     def predecessor_unreachable(self) -> None:
-        """Fail the attempts that wait for runs in a predecessor that still runs but reports nothing more."""
+        """Fail the attempts that wait for runs in a predecessor that has ended or reports nothing more."""
         self.clock.read()
         self.lifecycle.attempts.predecessor_lost()
 
-    def predecessor_lost(self) -> None:
-        """Handle the loss of the predecessor and of its runs."""
-        self.predecessor_unreachable()
-        self.loop.feed(PredecessorLoad())
-
     # ---- events from the pool and the dependency ----------------------------------------------
 
     def pool_started(self, starts_cold: bool, age: float) -> None:
--- a/saltcart/decision/events.py
+++ b/saltcart/decision/events.py
@@ -85,6 +85,14 @@
     calling: int = 0  # requests with a call in flight
     memory_kb: float = 0.0
 
+    def plus(self, other: PredecessorLoad) -> PredecessorLoad:
+        """Return the load of both processes together."""
+        return PredecessorLoad(
+            self.running + other.running,
+            self.calling + other.calling,
+            self.memory_kb + other.memory_kb,
+        )
+
 
 class TimerFired(NamedTuple):
     """A timer is due.  Gauges are named as in the platform's settings; one without a reading is ``None``."""
--- a/saltcart/takeover/hot_restart.py
+++ b/saltcart/takeover/hot_restart.py
@@ -13,11 +13,13 @@
 from saltcart.net.handover import HandoverLink, HandoverListener
 from saltcart.net.index import IndexClient
 from saltcart.net.listener import Listener
+from saltcart.takeover.load_reports import OlderProcessLoads
 from saltcart.takeover.operator_drain import OperatorDrain
 from saltcart.takeover.predecessor import Predecessor
 from saltcart.takeover.successor import Successor
 from saltcart.takeover.timing import POLL_INTERVAL_SECONDS
-from saltcart.wire.handover import HandoverPacket, PacketKind
+from saltcart.wire.errors import MalformedMessageError
+from saltcart.wire.handover import HandoverPacket, PacketKind, read_load
 
 # A release may stop both processes at once; the predecessor needs time to notice that its successor is gone.
 MIN_RETIRE_SECONDS = 0.5
@@ -64,8 +66,9 @@
         self.on_serving_again = on_serving_again
         self.announcer = announcer
         self.handover_listener = HandoverListener(folder, f"saltcart-{name}", self._on_connected)
-        self.predecessor = Predecessor(service, log, fronts, index)
-        self.successor = Successor(service, log, fronts)
+        self.older_processes = OlderProcessLoads(service, fronts)
+        self.predecessor = Predecessor(service, log, fronts, index, self.older_processes)
+        self.successor = Successor(service, log, fronts, self.older_processes)
         self.operator_drain = OperatorDrain(folder, name, service, log, self.predecessor, self.successor)
         self.operator_drain.start()
         self.is_serving = False  # the fronts are open, and no successor has taken over
@@ -92,7 +95,7 @@
                 break
         self._listen_for_successor()
         await self.open_fronts()
-        self.predecessor.set_connection_count(self.predecessor.connection_count)
+        self.older_processes.account_for_connections()
         self._start_serving()
 
     def _start_serving(self) -> None:
@@ -127,6 +130,9 @@
     def _on_packet(self, link: HandoverLink, packet: HandoverPacket, descriptor: int | None) -> None:
         if descriptor is not None:
             os.close(descriptor)  # a successor has no connections to pass
+        if packet.kind == PacketKind.LOAD and self.successor.link is not link:
+            self._on_load_report(link, packet)
+            return
         if packet.kind != PacketKind.TAKE or self.successor.link is link:
             # Closing the link would make either process take the other for dead.
             self.log("handover-malformed", kind=packet.kind, error="handover: unexpected packet")
@@ -138,6 +144,13 @@
         else:
             self.waiting_link = link
 
+    def _on_load_report(self, link: HandoverLink, packet: HandoverPacket) -> None:
+        """Count the load of an older process whose successor, which reported to this one, has ended."""
+        try:
+            self.older_processes.record(link, read_load(packet))
+        except MalformedMessageError as error:
+            self.log("handover-malformed", kind=packet.kind, error=str(error))
+
     def _hand_over(self, link: HandoverLink) -> None:
         self.is_serving = False
         self.handover_listener.close()
@@ -156,6 +169,7 @@
 
     def _on_successor_ended(self, link: HandoverLink) -> None:
         """Serve again, unless another process has taken over from the successor."""
+        self.older_processes.record_end(link)
         if self.successor.link is not link or self.is_closed:
             return
         self.service.mark_keys_uncertain()  # the successor reported no runs of its own
@@ -167,7 +181,7 @@
             await self._serve_again()
             return
         self.log("takeover-replaced")
-        self.successor.watch(link)
+        self.successor.watch(link, reads_load=self.operator_drain.is_shared_with(link))
         self._watch_successor(link)
 
     async def _find_serving_process(self) -> HandoverLink | None:
--- a/saltcart/takeover/operator_drain.py
+++ b/saltcart/takeover/operator_drain.py
@@ -84,9 +84,10 @@
             links.append(self.predecessor.link)
         if self.successor.link is not None and not self.successor.can_be_told():
             links.append(self.successor.link)
-        return [link for link in links if not self._reads_file(link)]
+        return [link for link in links if not self.is_shared_with(link)]
 
-    def _reads_file(self, link: HandoverLink) -> bool:
+    def is_shared_with(self, link: HandoverLink) -> bool:
+        """Return whether the process at the other end of a link reads the file; earlier releases don't."""
         if self.file is None:
             return False
         try:
--- a/saltcart/takeover/predecessor.py
+++ b/saltcart/takeover/predecessor.py
@@ -12,6 +12,7 @@
 from saltcart.net.handover import HandoverLink
 from saltcart.net.index import IndexClient
 from saltcart.net.listener import Listener
+from saltcart.takeover.load_reports import OlderProcessLoads
 from saltcart.takeover.timing import POLL_INTERVAL_SECONDS
 from saltcart.wire import handover as wire
 from saltcart.wire.errors import MalformedMessageError
@@ -36,16 +37,17 @@
         log: Log,
         fronts: dict[str, Listener],
         index: IndexClient | None,
+        older_processes: OlderProcessLoads,
     ) -> None:
         self.service = service
         self.log = log
         self.fronts = fronts  # by name; empty until they are opened
         self.index = index
+        self.older_processes = older_processes
         self.link: HandoverLink | None = None
         self.handover_ended = asyncio.Event()  # it has handed over, or is gone
         self.has_handed_over = False  # it has sent all of its keys
         self.has_unread_key = False  # a key that it sent could not be read
-        self.connection_count = 0  # client connections that it still has
         self.attach_tasks = set[asyncio.Task[None]]()
         # Called with a drain by operators, or its end, at the predecessor.
         self.on_drain_reported: Callable[[ReportedDrain], None] = lambda report: None
@@ -105,9 +107,8 @@
                 record = wire.read_key(packet, self.service.clock.seconds_ahead())
                 self.service.adopt_key(record, packet.kind == PacketKind.FREED_KEY)
             case PacketKind.LOAD:
-                load, connection_count = wire.read_load(packet)
-                self.service.set_predecessor_load(load)
-                self.set_connection_count(connection_count)
+                if self.link is not None:
+                    self.older_processes.record(self.link, wire.read_load(packet))
             case PacketKind.HANDED_OVER:
                 uncertain_until = wire.read_uncertain_until(packet, self.service.clock.seconds_ahead())
                 self.has_handed_over = True
@@ -120,18 +121,13 @@
             case PacketKind.WITHDRAWN:
                 self.on_drain_reported(wire.read_drain(packet))
             case PacketKind.CONNECTION if descriptor is not None:
-                self.set_connection_count(max(0, self.connection_count - 1))
+                if self.link is not None:
+                    self.older_processes.record_passed_connection(self.link)
                 self._start_attaching(packet, descriptor)
             case _:  # sent only by later releases
                 if descriptor is not None:
                     os.close(descriptor)
 
-    def set_connection_count(self, count: int) -> None:
-        """Record the predecessor's number of client connections; one limit applies to both processes."""
-        self.connection_count = count
-        if "http" in self.fronts:
-            self.fronts["http"].predecessor_connections = count
-
     def _start_attaching(self, packet: HandoverPacket, descriptor: int) -> None:
         task = asyncio.get_running_loop().create_task(self._attach(packet, descriptor))
         self.attach_tasks.add(task)
@@ -165,12 +161,14 @@
 
     def _on_ended(self) -> None:
         """Handle the end of the predecessor, which reports no further keys or results."""
+        link = self.link
         self.link = None
         self.handover_ended.set()
-        self.set_connection_count(0)
         if self.index is not None:
             self.index.max_connections *= 2
-        self.service.predecessor_lost()
+        self.service.predecessor_unreachable()
+        if link is not None:
+            self.older_processes.record_end(link)
 
     def close(self) -> None:
         """Close the link and stop attaching connections, because this process ends."""
--- a/saltcart/takeover/successor.py
+++ b/saltcart/takeover/successor.py
@@ -7,10 +7,10 @@
 from saltcart.core.idempotency_keys import KeyRecord
 from saltcart.core.ports import Log
 from saltcart.core.service import Service
-from saltcart.decision.events import PredecessorLoad
 from saltcart.front.connection import FrontConnection
 from saltcart.net.handover import HandoverLink
 from saltcart.net.listener import Listener, ServerConnection
+from saltcart.takeover.load_reports import LoadReporter, OlderProcessLoads
 from saltcart.takeover.timing import POLL_INTERVAL_SECONDS
 from saltcart.wire import handover as wire
 
@@ -22,7 +22,13 @@
 class Successor:
     """The process to which this process, the owner of ``service`` and ``fronts``, hands over."""
 
-    def __init__(self, service: Service, log: Log, fronts: dict[str, Listener]) -> None:
+    def __init__(
+        self,
+        service: Service,
+        log: Log,
+        fronts: dict[str, Listener],
+        older_processes: OlderProcessLoads,
+    ) -> None:
         self.service = service
         self.log = log
         self.fronts = fronts
@@ -31,8 +37,7 @@
         self.reads_reports = (
             False  # this process has handed over on the link; otherwise it only watches the peer
         )
-        # The load and the number of client connections.
-        self.last_sent_load: tuple[PredecessorLoad, int] | None = None
+        self.load_reporter = LoadReporter(service, fronts, older_processes, self._send)
         self.next_batch_timer: asyncio.TimerHandle | None = None
 
     def hand_over(self, link: HandoverLink, *, shares_drain: bool) -> None:
@@ -44,12 +49,11 @@
         """
         self.link = link
         self.reads_reports = True
-        self.last_sent_load = None
         for record in self.service.lifecycle.attempts.hand_over(self._send_key):
             self._send_key(record, False)
         for packet in wire.request_id_packets(self.service.used_request_ids()):
             self._send(packet)
-        self._send_load()
+        self.load_reporter.start()
         if self.service.drain.is_withdrawn:
             self.report_drain(is_shared=shares_drain)
         seconds_ahead = self.service.clock.seconds_ahead()
@@ -60,30 +64,30 @@
         self.log("handed-over", open=len(self.service.requests), keys=len(self.service.keys))
         self._pass_connections()
 
-    def watch(self, link: HandoverLink) -> None:
-        """Watch a process that has taken over from the successor, which has ended."""
+    def watch(self, link: HandoverLink, *, reads_load: bool) -> None:
+        """Watch a process that has taken over from the successor, which has ended.
+
+        Args:
+            link: The link to that process.
+            reads_load: Whether it reads reports of the load of this process.
+        """
         self.link = link
         self.reads_reports = False
         self.end_connections()
+        if reads_load:
+            self.load_reporter.start()
 
     def can_be_told(self) -> bool:
         """Return whether packets reach the successor."""
         return self.link is not None and self.link.is_open and self.reads_reports
 
     def _send(self, packet: wire.HandoverPacket) -> None:
-        if self.link is not None and self.reads_reports:
+        if self.link is not None:
             self.link.send(packet)
 
     def _send_key(self, record: KeyRecord, is_free: bool) -> None:
-        self._send(wire.key_packet(record, is_free, self.service.clock.seconds_ahead()))
-
-    def _send_load(self) -> None:
-        """Report this process's load, if it changed, while both processes share the cores and the memory."""
-        connection_count = sum(len(listener.connections) for listener in self.fronts.values())
-        load = self.service.load(), connection_count
-        if self.link is not None and load != self.last_sent_load:
-            self.last_sent_load = load
-            self._send(wire.load_packet(*load))
+        if self.reads_reports:
+            self._send(wire.key_packet(record, is_free, self.service.clock.seconds_ahead()))
 
     def report_drain(self, *, is_shared: bool) -> None:
         """Report whether operators have withdrawn the instance, for a successor that reads no drain file.
@@ -92,7 +96,8 @@
             is_shared: Whether the drain file says the same.
         """
         report = wire.ReportedDrain(self.service.drain.is_withdrawn, is_shared)
-        self._send(wire.drain_packet(report))
+        if self.reads_reports:
+            self._send(wire.drain_packet(report))
 
     def _pass_connection(self, connection: ServerConnection, buffered_bytes: bytes) -> bool:
         """Pass a connection to the successor and close it here; return False if it can't be passed now."""
@@ -114,7 +119,6 @@
     def _pass_connections(self) -> None:
         passed_count = MAX_BATCH_CONNECTIONS  # an error with one connection must not stop the others
         try:
-            self._send_load()
             passed_count = self._pass_batch()
         finally:
             delay = BATCH_DELAY_SECONDS if passed_count == MAX_BATCH_CONNECTIONS else POLL_INTERVAL_SECONDS
@@ -138,6 +142,7 @@
     def cancel_hand_over(self) -> None:
         """Serve the remaining connections again, because the successor is gone."""
         self.link = None
+        self.load_reporter.stop()
         self.service.lifecycle.attempts.cancel_hand_over()
         self._continue_connections(ends_connections=False)
 
@@ -163,4 +168,5 @@
         """Close the link and pass no more connections, because this process ends."""
         if self.link is not None:
             self.link.close()
+        self.load_reporter.stop()
         self.stop_passing()
--- a/saltcart/wire/handover.py
+++ b/saltcart/wire/handover.py
@@ -45,6 +45,14 @@
     data: bytes = b""
 
 
+class ReportedLoad(NamedTuple):
+    """The load that a process, and those before it, still have while another one serves."""
+
+    own: PredecessorLoad = PredecessorLoad()
+    older: PredecessorLoad = PredecessorLoad()  # of the processes before it
+    connections: int = 0  # client connections of all of them
+
+
 class ReportedDrain(NamedTuple):
     """A drain by operators, or its end, as the predecessor reports it."""
 
@@ -135,28 +143,58 @@
         raise MalformedMessageError(f"handover: a field of a key is missing or invalid: {error!r}") from error
 
 
-def load_packet(load: PredecessorLoad, connections: int) -> HandoverPacket:
-    """Return the packet for the predecessor's load and the number of its client connections."""
-    fields = {
-        "on_core": load.running,
-        "calling": load.calling,
-        "memory_kb": load.memory_kb,
-        "connections": connections,
-    }
+def load_packet(report: ReportedLoad) -> HandoverPacket:
+    """Return the packet for the load of a process and of those before it.
+
+    The fields hold the sum of both, as earlier releases know no more.  The part of the processes before it is
+    added if there is any.
+    """
+    fields: dict[str, Any] = load_fields(report.own.plus(report.older))
+    fields["connections"] = report.connections
+    if report.older != PredecessorLoad():
+        fields["older"] = load_fields(report.older)
     return HandoverPacket(PacketKind.LOAD, fields)
 
 
-def read_load(packet: HandoverPacket) -> tuple[PredecessorLoad, int]:
-    """Read the predecessor's load and the number of its client connections.
+def load_fields(load: PredecessorLoad) -> dict[str, Any]:
+    """Return the fields of a load."""
+    return {"on_core": load.running, "calling": load.calling, "memory_kb": load.memory_kb}
+
+
+def read_load(packet: HandoverPacket) -> ReportedLoad:
+    """Read the load of a process and of those before it.
+
+    Raises:
+        MalformedMessageError: A field is missing or invalid.
+    """
+    total = read_load_fields(packet.fields, "")
+    connections = read_number("connections", packet.fields.get("connections"))
+    raw_older = packet.fields.get("older", {"on_core": 0, "calling": 0, "memory_kb": 0.0})
+    if not isinstance(raw_older, dict):
+        raise MalformedMessageError(f"handover: field older is {raw_older!r}, not an object")
+    older = read_load_fields(raw_older, "older.")
+    own = PredecessorLoad(
+        max(0, total.running - older.running),
+        max(0, total.calling - older.calling),
+        max(0.0, total.memory_kb - older.memory_kb),
+    )
+    return ReportedLoad(own, older, int(connections))
+
+
+def read_load_fields(fields: dict[str, Any], prefix: str) -> PredecessorLoad:
+    """Read the fields of a load.
+
+    Args:
+        fields: The fields, and possibly others.
+        prefix: What precedes the names of the fields in errors.
 
     Raises:
         MalformedMessageError: A field is missing or invalid.
     """
-    running, calling, memory_kb, connections = (
-        read_number(name, packet.fields.get(name))
-        for name in ("on_core", "calling", "memory_kb", "connections")
+    running, calling, memory_kb = (
+        read_number(prefix + name, fields.get(name)) for name in ("on_core", "calling", "memory_kb")
     )
-    return PredecessorLoad(int(running), int(calling), memory_kb), int(connections)
+    return PredecessorLoad(int(running), int(calling), memory_kb)
 
 
 def handed_over_packet(uncertain_until: float | None, seconds_ahead: float = 0.0) -> HandoverPacket:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -73,9 +73,12 @@
                 wire.read_key(wire.HandoverPacket("entry", bad_fields))
 
 
-def test_a_load_packet_is_read_as_it_was_written() -> None:
-    load = PredecessorLoad(3, 1, 120.5)
-    assert wire.read_load(wire.decode(wire.encode(wire.load_packet(load, 7)))) == (load, 7)
+@pytest.mark.parametrize("older", [PredecessorLoad(), PredecessorLoad(2, 1, 49.0)])
+def test_a_load_packet_is_read_as_it_was_written(older: PredecessorLoad) -> None:
+    report = wire.ReportedLoad(PredecessorLoad(3, 1, 120.5), older, 7)
+    packet = wire.decode(wire.encode(wire.load_packet(report)))
+    assert wire.read_load(packet) == report
+    assert packet.fields["on_core"] == 3 + older.running  # all that earlier releases read
 
 
 @pytest.mark.parametrize(
@@ -93,10 +96,17 @@
 def test_a_load_packet_with_an_invalid_field_is_malformed(name: str, value: object) -> None:
     with pytest.raises(MalformedMessageError):
         wire.read_load(
-            wire.HandoverPacket("beside", {**wire.load_packet(PredecessorLoad(), 0).fields, name: value})
+            wire.HandoverPacket("beside", {**wire.load_packet(wire.ReportedLoad()).fields, name: value})
         )
 
 
+@pytest.mark.parametrize("older", [None, 3, {}, {"on_core": 1, "calling": -1, "memory_kb": 0}])
+def test_a_load_packet_with_an_invalid_part_of_older_processes_is_malformed(older: object) -> None:
+    fields = {**wire.load_packet(wire.ReportedLoad()).fields, "older": older}
+    with pytest.raises(MalformedMessageError, match="field older"):
+        wire.read_load(wire.HandoverPacket("beside", fields))
+
+
 @pytest.mark.parametrize(("until", "expected"), [(None, 0.0), (1234.5, 1234.5)])
 def test_a_handed_over_packet_is_read_as_it_was_written(until: float | None, expected: float) -> None:
     packet = wire.decode(wire.encode(wire.handed_over_packet(until, 7.0)))
@@ -142,7 +152,7 @@
     predecessor, successor = hand_over_in_memory()
     successor.submit(11)
     if ending == "predecessor dies":
-        successor.service.predecessor_lost()
+        successor.service.predecessor_unreachable()
     else:
         predecessor.finish_run(1, Outcome.NOT_STARTED if ending == "run never started" else Outcome.FAILED)
     assert successor.statuses(11) == ["failed"]
--- a/tests/test_takeover_chain.py
+++ b/tests/test_takeover_chain.py
@@ -14,7 +14,9 @@
 
 from saltcart.app import App
 from saltcart.config import read_config
+from saltcart.decision.events import PredecessorLoad
 from saltcart.deployment import Deployment
+from saltcart.net.drain_file import DrainFile
 from saltcart.net.handover import HandoverListener
 from saltcart.net.listener import Listener
 from saltcart.takeover import hot_restart
@@ -206,3 +208,145 @@
                 await app.close()
 
     asyncio.run(scenario())
+
+
+# ---- the load of older processes --------------------------------------------------------------
+
+
+def count_older_runs(app: App) -> int:
+    """Return the number of runs of older processes for which a process accounts."""
+    assert app.service.controller is not None
+    return app.service.controller.predecessor.running
+
+
+async def send_request(address: str, number: int, pool: Pool) -> HttpClient:
+    """Send a request that stays in the pool, and return its client."""
+    client = await HttpClient(address).open()
+    client.send(number, budget_ms="60000")
+    await until(lambda: encode_id(number) in pool.spawned)
+    return client
+
+
+def test_the_newest_process_counts_the_load_of_all_older_ones(shared_platform: Platform) -> None:
+    # Guards against crowded cores and memory: the newest of three counted the middle one alone (review/8).
+    async def scenario() -> None:
+        environment = shared_platform.environment
+        address = shared_platform.address
+        async with (
+            Pool(finishes_runs=False) as first_pool,
+            Pool(finishes_runs=False) as second_pool,
+            Pool() as third_pool,
+            running(None, environment, pool=first_pool.address, **LONG_DEADLINES),
+        ):
+            clients = [await send_request(address, 1, first_pool)]
+            async with running(None, environment, pool=second_pool.address, **LONG_DEADLINES) as second:
+                clients.append(await send_request(address, 2, second_pool))
+                async with running(None, environment, pool=third_pool.address, **LONG_DEADLINES) as third:
+                    assert count_older_runs(second) == 1 and count_older_runs(third) == 2
+                    assert third.service.controller is not None
+                    assert third.service.controller.predecessor.memory_kb == pytest.approx(2 * 4 * 24.5)
+                    assert third.fronts["http"].predecessor_connections == 2
+                    first_pool.finish(encode_id(1))
+                    assert (await clients[0].read_response()).status == 200
+                    await until(lambda: count_older_runs(third) == 1)
+                    second_pool.finish(encode_id(2))
+                    await until(lambda: count_older_runs(third) == 0)
+            for client in clients:
+                client.drop()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("reads_reports", [True, False])
+def test_the_load_of_the_oldest_process_counts_after_the_middle_one_has_died(
+    reads_reports: bool, shared_platform: Platform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a load that is forgotten with the process that reported it, and against reports to an
+    # earlier release, which does not read them.
+    async def scenario() -> None:
+        log = EventLog()
+        environment = shared_platform.environment
+        async with (
+            Pool(finishes_runs=False) as first_pool,
+            Pool() as later_pool,
+            running(None, environment, pool=first_pool.address, **LONG_DEADLINES),
+        ):
+            client = await send_request(shared_platform.address, 1, first_pool)
+            async with (
+                running(None, environment, pool=later_pool.address, **LONG_DEADLINES) as second,
+                running(None, environment, log, pool=later_pool.address, **LONG_DEADLINES) as third,
+            ):
+                counted = list[int]()
+                record_load = third.service.set_predecessor_load
+
+                def record(load: PredecessorLoad) -> None:
+                    counted.append(load.running)
+                    record_load(load)
+
+                monkeypatch.setattr(third.service, "set_predecessor_load", record)
+                if not reads_reports:
+                    monkeypatch.setattr(DrainFile, "is_read_by", lambda file, process_id: False)
+                takeover = third.takeover
+                assert takeover is not None
+                (link_to_second,) = takeover.older_processes.by_link
+                await second.close()  # it dies
+                await until(lambda: link_to_second not in takeover.older_processes.by_link)
+                assert counted[-1] == reads_reports and (min(counted) == 1 or not reads_reports)
+                first_pool.finish(encode_id(1))
+                assert (await client.read_response()).status == 200
+                await until(lambda: count_older_runs(third) == 0)
+                assert not log.find("handover-malformed")
+
+    asyncio.run(scenario())
+
+
+def test_runs_of_a_process_that_has_ended_count_until_they_may_be_over(shared_platform: Platform) -> None:
+    # Guards against memory that is given out twice: runs go on in the pool of a process that has ended.
+    async def scenario() -> None:
+        environment = shared_platform.environment
+        address = shared_platform.address
+        async with (
+            Pool(finishes_runs=False) as first_pool,
+            Pool(finishes_runs=False) as second_pool,
+            Pool() as third_pool,
+            running(None, environment, pool=first_pool.address, **LONG_DEADLINES),
+        ):
+            clients = [await send_request(address, 1, first_pool)]
+            async with running(None, environment, pool=second_pool.address, **LONG_DEADLINES) as second:
+                clients.append(await send_request(address, 2, second_pool))
+                async with running(None, environment, pool=third_pool.address, **LONG_DEADLINES) as third:
+                    takeover = third.takeover
+                    assert takeover is not None and third.service.longest_objective == 60.0
+                    reports = takeover.older_processes.by_link
+                    (link_to_second,) = reports
+                    await second.close()  # it dies
+                    await until(lambda: reports[link_to_second].older == PredecessorLoad())
+                    assert reports[link_to_second].own.running == 1
+                    assert count_older_runs(third) == 2  # the first one's is reported by itself
+            for client in clients:
+                client.drop()
+
+    asyncio.run(scenario())
+
+
+def test_a_malformed_load_of_an_older_process_is_logged(shared_platform: Platform) -> None:
+    async def scenario() -> None:
+        log = EventLog()
+        async with (
+            Pool() as pool,
+            running(None, shared_platform.environment, log, pool=pool.address) as app,
+        ):
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as link:
+                link.connect(str(shared_platform.folder / "saltcart-n1"))
+                packet = wire.load_packet(wire.ReportedLoad(PredecessorLoad(running=1)))
+                link.send(wire.encode(packet))
+                await until(lambda: count_older_runs(app) == 1)
+                packet.fields["calling"] = -3
+                link.send(wire.encode(packet))
+                await until(lambda: bool(log.find("handover-malformed")))
+                (line,) = log.find("handover-malformed")
+                assert line["kind"] == "beside" and "field calling is -3" in line["error"]
+                assert count_older_runs(app) == 1 and is_accepting(app)
+            await until(lambda: count_older_runs(app) == 0)
+
+    asyncio.run(scenario())
--- a/tests/test_takeover_links.py
+++ b/tests/test_takeover_links.py
@@ -23,7 +23,7 @@
 TAKE = wire.encode(HandoverPacket(PacketKind.TAKE, {}))
 HANDED_OVER = wire.encode(HandoverPacket(PacketKind.HANDED_OVER, {}))
 KEY_FIELDS = wire.key_packet(KeyRecord(("acme", "oddaja", b"k"), 1, 1e9, b"\0"), False).fields
-LOAD_FIELDS = wire.load_packet(PredecessorLoad(), 0).fields
+LOAD_FIELDS = wire.load_packet(wire.ReportedLoad()).fields
 SOCKET_NAME = "saltcart-n1"
 ROOT = Path(__file__).parents[1]
 
@@ -194,7 +194,9 @@
     # Guards against crowded cores: a closed link was taken for the end of the predecessor and its runs.
     async def scenario() -> None:
         log = EventLog()
-        load = wire.encode(wire.load_packet(PredecessorLoad(running=2), 3)).decode()
+        load = wire.encode(
+            wire.load_packet(wire.ReportedLoad(PredecessorLoad(running=2), connections=3))
+        ).decode()
         arguments = ("predecessor", str(shared_platform.folder / SOCKET_NAME), load, HANDED_OVER.decode())
         async with (
             peer_process(*arguments) as predecessor,
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -43,7 +43,7 @@
     ("acme", "oddaja", b"k\xff"), 3, 1012.5, b"\x00\x01", {encode_id(0xA1)}, True, True, b"\n{}\0"
 )
 CLOCK_AHEAD_SECONDS = 2.25  # how far the writer's clock was ahead of the Unix clock
-LOAD, CONNECTION_COUNT = PredecessorLoad(3, 1, 120.5), 7
+REPORTED_LOAD = handover.ReportedLoad(PredecessorLoad(3, 1, 120.5), connections=7)
 CONNECTION_FIELDS = {"front": "http", "rests": True, "age": 1.5}
 
 MEMBER = MemberRecord("m1", "127.0.0.1:7946", 1000, MemberState.ALIVE, "kranj", "si", "m1")
@@ -82,7 +82,7 @@
         ("yours", handover.HandoverPacket("yours", {})),
         ("entry", handover.key_packet(KEY_RECORD, False, CLOCK_AHEAD_SECONDS)),
         ("gone", handover.key_packet(KEY_RECORD, True, CLOCK_AHEAD_SECONDS)),
-        ("beside", handover.load_packet(LOAD, CONNECTION_COUNT)),
+        ("beside", handover.load_packet(REPORTED_LOAD)),
         ("connection", handover.HandoverPacket("connection", CONNECTION_FIELDS, b"POST /call")),
     ],
 )
@@ -109,7 +109,7 @@
 
 
 def test_a_recorded_load_packet_is_read_with_all_fields() -> None:
-    assert handover.read_load(handover.decode(handover_packet("beside"))) == (LOAD, CONNECTION_COUNT)
+    assert handover.read_load(handover.decode(handover_packet("beside"))) == REPORTED_LOAD
 
 
 def test_a_key_that_the_earlier_release_ran_is_answered_with_the_recorded_result() -> None:
