Calls: those of older processes count towards the share of a shared dependency

Cause: an older process reports its calls (PredecessorLoad.calling), and the scheduler of runs uses the number; CallAdmission did not get it.

Change: CallAdmission.decide gets the load of older processes; where the dependency is shared, their calls count as in flight. A new report is followed by a new decision on the calls that wait.

Measured: test_calls_of_the_predecessor_count_towards_the_share_of_the_dependency.

--- a/saltcart/decision/call_admission.py
+++ b/saltcart/decision/call_admission.py
@@ -7,6 +7,7 @@
 
 from saltcart.decision.decisions import CallDecision
 from saltcart.decision.estimators import CallTimeEstimator, RunTimeEstimator
+from saltcart.decision.events import PredecessorLoad
 from saltcart.decision.outcome import Outcome
 from saltcart.decision.request import AWAITING_CALL, CALLING, Request
 from saltcart.decision.request_table import RequestTable
@@ -39,7 +40,8 @@
         self.order = order
         self.table = table
         self.run_times = run_times
-        share = settings.dependency_call_share if settings.dependency is DependencyKind.SHARED else None
+        self.is_shared = settings.dependency is DependencyKind.SHARED
+        share = settings.dependency_call_share if self.is_shared else None
         self.max_limit = float(settings.cores) if share is None else max(1e-3, SURVIVABLE_CALL_SHARE * share)
         self.limit = self.max_limit
         self.call_times = CallTimeEstimator()
@@ -74,10 +76,14 @@
         if self.limit < 1:  # a pause after each call keeps the mean number in flight at the limit
             self.paused_until = max(self.paused_until, now + seconds * (1 / self.limit - 1))
 
-    def decide(self, now: float) -> Iterator[tuple[Request, CallDecision]]:
+    def decide(self, now: float, predecessor: PredecessorLoad) -> Iterator[tuple[Request, CallDecision]]:
         """Yield decisions about waiting requests, highest priority weight first.
 
         The caller must carry out each decision before it takes the next one.
+
+        Args:
+            now: Current time.
+            predecessor: Load that older processes still have; their calls count towards the same share.
         """
         for class_index in self.order:
             queue = self.waiting[class_index]
@@ -86,7 +92,7 @@
                 if not self._is_waiting(request):
                     queue.popleft()
                     continue
-                if self._has_capacity(now):
+                if self._has_capacity(now, predecessor):
                     decision = CallDecision.START
                 elif self._should_skip(now, request):
                     decision = CallDecision.SKIP
@@ -99,8 +105,10 @@
         is_live = request.id in self.table
         return is_live and request.state is AWAITING_CALL and not request.has_response
 
-    def _has_capacity(self, now: float) -> bool:
+    def _has_capacity(self, now: float, predecessor: PredecessorLoad) -> bool:
         in_flight = self.table.counts[CALLING]
+        if self.is_shared:
+            in_flight += predecessor.calling
         return in_flight + 1 <= max(1.0, self.limit) and now >= self.paused_until
 
     def _should_skip(self, now: float, request: Request) -> bool:
--- a/saltcart/decision/controller.py
+++ b/saltcart/decision/controller.py
@@ -117,6 +117,7 @@
 
     def _on_predecessor_load(self, now: float, event: events.PredecessorLoad) -> None:
         self.predecessor = event
+        self._admit_calls(now)
 
     def _on_pool_restarted(self, now: float, event: events.PoolRestarted) -> None:
         # A limit that was learned on warm cores would overload cold ones.
@@ -272,7 +273,7 @@
         self._admit_calls(now)
 
     def _admit_calls(self, now: float) -> None:
-        for request, decision in self.calls.decide(now):
+        for request, decision in self.calls.decide(now, self.predecessor):
             self._apply_call_decision(now, request, decision)
 
     def _apply_call_decision(self, now: float, request: Request, decision: CallDecision) -> None:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -173,6 +173,20 @@
     assert host.controller.load() == PredecessorLoad(2, 0, 80.0)  # the load that its own successor gets
 
 
+@pytest.mark.parametrize("dependency", [DependencyKind.SHARED, DependencyKind.TIER])
+def test_calls_of_the_predecessor_count_towards_the_share_of_the_dependency(
+    dependency: DependencyKind,
+) -> None:
+    """Both processes of an upgrade have one share; the machines of a tier have limits of their own."""
+    host = ControllerHost(replace(BASE, dependency=dependency, dependency_call_share=2.5))
+    host.send(PredecessorLoad(calling=2))
+    host.arrive(1)
+    is_shared = dependency is DependencyKind.SHARED
+    assert any(isinstance(a, StartCall) for a in host.send(CallRequested(1))) is not is_shared
+    actions = host.send(PredecessorLoad(calling=1))
+    assert any(isinstance(a, StartCall) for a in actions) is is_shared
+
+
 def test_same_events_and_seed_give_the_same_actions() -> None:
     def record_actions() -> list[Action]:
         host = ControllerHost(seed=7)
