Administration: the program starts with a file of state and a changed deployment file

At an upgrade the new version left out all that was saved.

Cause: the file of state holds all upstreams, and Registry.restore applied it with the checks of a change by the API, which refuse another list of members for such an upstream. An upstream for a new plan was missing in the same way. Other differences were decided for the file of state without a word.

Change: one rule in admin/saved_state.py: what is saved holds, except upstreams on which the instances agree; what plans need and is not saved comes from the deployment file. Each field that differs is logged (state-kept, state-overruled), without secrets.

--- a/saltcart/admin/administration.py
+++ b/saltcart/admin/administration.py
@@ -46,7 +46,7 @@
         self.settings = settings
         self.log = log
         state_file = Path(settings.state_file) if settings.state_file else None
-        self.registry = Registry(deployment, service, upstreams, state_file)
+        self.registry = Registry(deployment, service, upstreams, state_file, log)
         if composer is not None:
             self.registry.on_tenant_removed = composer.engine.stale_cache.remove_tenant
         self.api = AdminApi(service, self.registry, settings.token, composer, storm_control, fleet)
--- a/saltcart/admin/registry.py
+++ b/saltcart/admin/registry.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable, Iterable
-from dataclasses import asdict, replace
+from dataclasses import replace
 from pathlib import Path
-from typing import Any, TypeVar
-
-import orjson
+from typing import TypeVar
 
+from saltcart.admin.saved_state import State, combine, find_differences, load_state, save_state
 from saltcart.config import ConfigError
+from saltcart.core.ports import Log
 from saltcart.core.service import Service
 from saltcart.decision.settings import TenantSpec
 from saltcart.deployment import (
@@ -18,8 +17,6 @@
     TenantConf,
     UpstreamConf,
     check_upstreams_and_tenants,
-    read_tenant,
-    read_upstream,
 )
 from saltcart.field_reader import InvalidFieldError
 from saltcart.net.upstreams import Upstreams
@@ -48,6 +45,7 @@
         service: Service,
         live_upstreams: Upstreams | None,
         state_file: Path | None,
+        log: Log = lambda event, **fields: None,
     ) -> None:
         """Start with the deployment's tenants and upstreams, or with the saved ones.
 
@@ -56,6 +54,7 @@
             service: Receives the tenants after each change.
             live_upstreams: The connections to upstreams, updated on each change; ``None`` with a worker pool.
             state_file: File that keeps changes over a restart; ``None`` to keep them in memory only.
+            log: Receives an event for each field in which that file differs from the deployment file.
 
         Raises:
             ConfigError: If the file exists and can't be read or its content is invalid.
@@ -64,6 +63,8 @@
         tenants = deployment.tenants or tuple(
             TenantConf(spec.name, spec.share, spec.quota) for spec in service.settings.tenants
         )
+        self.log = log
+        self.deployed = State(tenants, deployment.upstreams)
         self.tenants = {tenant.name: tenant for tenant in tenants}
         self.upstreams = {upstream.name: upstream for upstream in deployment.upstreams}
         self.on_tenant_removed: Callable[[str], None] = lambda tenant: None
@@ -73,9 +74,10 @@
             settings.upstream for settings in (deployment.locality, deployment.fleet) if settings is not None
         }
         # Upstreams that plans use: they must not be removed.
-        self.plan_upstreams = (
-            set() if plans is None else {dependency.upstream for dependency in plans.dependency}
-        )
+        dependencies = () if plans is None else plans.dependency
+        self.plan_upstreams = {
+            dependency.upstream for dependency in dependencies if dependency.upstream is not None
+        }
         self.restore()
 
     def restore(self) -> None:
@@ -87,13 +89,19 @@
         path = self.state_file
         if path is None or not path.exists():
             return
+        saved = load_state(path)
+        used = combine(saved, self.deployed, self.fixed_upstreams, self.plan_upstreams)
         try:
-            raw = orjson.loads(path.read_bytes())
-            tenants = [read_tenant(item, f"tenant[{n}]") for n, item in enumerate(raw["tenants"])]
-            upstreams = [read_upstream(item, f"upstream[{n}]") for n, item in enumerate(raw["upstreams"])]
-            self._apply(tenants, upstreams)
-        except (OSError, ValueError, KeyError, TypeError, InvalidFieldError) as error:
+            self._apply([*used.tenants], [*used.upstreams])
+        except InvalidFieldError as error:
             raise ConfigError(f"{path}: {error}") from None
+        for difference in find_differences(saved, self.deployed, used):
+            self.log(
+                f"state-{difference.verdict}",
+                field=difference.field,
+                saved=difference.saved,
+                deployed=difference.deployed,
+            )
 
     def put_tenant(self, tenant: TenantConf) -> None:
         """Add a tenant, or replace the one with its name.
@@ -162,12 +170,13 @@
     def _change(self, tenants: list[TenantConf], upstreams: list[UpstreamConf]) -> None:
         self._apply(tenants, upstreams)
         if self.state_file is not None:
-            self._save(self.state_file)
+            state = State((*self.tenants.values(),), (*self.upstreams.values(),))
+            save_state(self.state_file, state)
 
     def _apply(self, tenants: list[TenantConf], upstreams: list[UpstreamConf]) -> None:
         # All checks come first, so that an invalid change leaves everything as it was.
-        if missing := self.plan_upstreams - {None} - {upstream.name for upstream in upstreams}:
-            raise InvalidFieldError(f"upstream {min(map(str, missing))}: plans need it")
+        if missing := self.plan_upstreams - {upstream.name for upstream in upstreams}:
+            raise InvalidFieldError(f"upstream {min(missing)}: plans need it")
         for name in self.fixed_upstreams & self.upstreams.keys():
             if self.upstreams[name] not in upstreams:
                 raise InvalidFieldError(
@@ -192,14 +201,3 @@
                 self.live_upstreams.assign_tenant(name, None)
                 self.on_tenant_removed(name)
         self.service.set_tenants(tenant_specs(tenants))
-
-    def _save(self, path: Path) -> None:
-        """Replace the state file in one step; only its owner may read it, as it has secrets."""
-        state: dict[str, Any] = {
-            "tenants": [asdict(tenant) for tenant in self.tenants.values()],
-            "upstreams": [asdict(upstream) for upstream in self.upstreams.values()],
-        }
-        draft = path.with_name(path.name + ".new")
-        with open(os.open(draft, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "wb") as file:
-            file.write(orjson.dumps(state, option=orjson.OPT_INDENT_2))
-        os.replace(draft, path)
