Calls: one given up with its request counts while a shared dependency may have it

Cause: a call ends for CallAdmission with CallFinished. A request that is answered, or given up, before its call has ended gets no such event, and its slot was free at once; the dependency keeps the call for the linger that the settings name.

Change: a call whose run ends before it counts as in flight for the linger, also in what a successor is told. A tier is counted as before.

Measured: test_a_call_given_up_with_its_request_counts_while_it_occupies_a_shared_dependency failed before.

--- a/saltcart/decision/call_admission.py
+++ b/saltcart/decision/call_admission.py
@@ -47,12 +47,22 @@
         self.call_times = CallTimeEstimator()
         self.paused_until = 0.0  # no call starts before this time
         self.next_decrease_at = 0.0
+        self.abandoned_until = deque[float]()  # when each call that was given up has left the dependency
         self.waiting: list[deque[Request]] = [deque() for _ in settings.classes]
 
     def enqueue(self, request: Request) -> None:
         """Add a request to the queue for calls of its class."""
         self.waiting[request.class_index].append(request)
 
+    def record_abandoned(self, now: float) -> None:
+        """Count a call that was given up with its request, while the dependency may still work on it."""
+        if self.is_shared:
+            self.abandoned_until.append(now + self.settings.abandoned_call_seconds)
+
+    def _forget_abandoned(self, now: float) -> None:
+        while self.abandoned_until and self.abandoned_until[0] <= now:
+            self.abandoned_until.popleft()
+
     def record(self, now: float, outcome: Outcome, seconds: float) -> None:
         """Adapt the limit to the result of a call.
 
@@ -85,6 +95,7 @@
             now: Current time.
             predecessor: Load that older processes still have; their calls count towards the same share.
         """
+        self._forget_abandoned(now)
         for class_index in self.order:
             queue = self.waiting[class_index]
             while queue:
@@ -108,7 +119,7 @@
     def _has_capacity(self, now: float, predecessor: PredecessorLoad) -> bool:
         in_flight = self.table.counts[CALLING]
         if self.is_shared:
-            in_flight += predecessor.calling
+            in_flight += predecessor.calling + len(self.abandoned_until)
         return in_flight + 1 <= max(1.0, self.limit) and now >= self.paused_until
 
     def _should_skip(self, now: float, request: Request) -> bool:
--- a/saltcart/decision/controller.py
+++ b/saltcart/decision/controller.py
@@ -89,7 +89,7 @@
         """Return the load on the cores and the memory, for a successor that takes over from this process."""
         counts = self.table.counts
         running = counts[RUNNING]
-        calling = counts[CALLING]
+        calling = counts[CALLING] + len(self.calls.abandoned_until)
         return events.PredecessorLoad(running, calling, self.table.memory_kb)
 
     def held_count(self) -> int:
@@ -197,6 +197,8 @@
         request.has_response |= event.outcome in (Outcome.SUCCEEDED, Outcome.FAILED)
         if request.state is not JOINED:
             self._record_run(now, request, event.outcome)
+            if request.state is CALLING:
+                self.calls.record_abandoned(now)
             self.table.remove(request)
         self._finish(request)
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -187,6 +187,27 @@
     assert any(isinstance(a, StartCall) for a in actions) is is_shared
 
 
+@pytest.mark.parametrize("dependency", [DependencyKind.SHARED, DependencyKind.TIER])
+def test_a_call_given_up_with_its_request_counts_while_it_occupies_a_shared_dependency(
+    dependency: DependencyKind,
+) -> None:
+    """A slow dependency whose callers give up early would otherwise get more calls than its share."""
+    settings = replace(BASE, dependency=dependency, dependency_call_share=2.5, abandoned_call_seconds=0.2)
+    host = ControllerHost(settings)
+    for request_id in (1, 2, 3):
+        host.arrive(request_id)
+        host.send(CallRequested(request_id))
+    assert sum(isinstance(a, StartCall) for a in host.actions) == 2
+    host.send(RequestAbandoned(1))
+    actions = host.finish(1, Outcome.FAILED) + host.run_until(host.now + 0.15)
+    is_shared = dependency is DependencyKind.SHARED
+    assert any(isinstance(a, StartCall) for a in actions) is not is_shared
+    assert host.controller.load().calling == 2
+    actions = host.run_until(host.now + 0.1)
+    assert any(isinstance(a, StartCall) and a.id == 3 for a in actions) is is_shared
+    assert host.controller.load().calling == 2
+
+
 def test_same_events_and_seed_give_the_same_actions() -> None:
     def record_actions() -> list[Action]:
         host = ControllerHost(seed=7)
