Keys: an answer that shares a result names its cached replies, as the first one does

Cause: a key's record, and the packet that hands it over, kept the bytes of the result alone.

Change: both keep the names of the dependencies; shared_response makes the response of each attempt that shares a result, in place of three places that did.

Recorded packets are written and read as before.

--- a/saltcart/core/idempotency.py
+++ b/saltcart/core/idempotency.py
@@ -20,14 +20,15 @@
         self,
         keys: KeyTable,
         answer_slack: float,
-        finish_attempt: Callable[[int, bytes | None], None],
+        finish_attempt: Callable[[int, KeyRecord | None], None],
     ) -> None:
         """Start without a takeover.
 
         Args:
             keys: The table of idempotency keys.
             answer_slack: Seconds past its due time by which a response may be late.
-            finish_attempt: Called with the number of an attempt that waited, and the result or None.
+            finish_attempt: Called with the number of an attempt that waited, and the record that has the
+                result, or None if there is none.
         """
         self.keys = keys
         self.answer_slack = answer_slack
@@ -67,7 +68,7 @@
         """Have a request share the result of another attempt's run, at once if that has ended."""
         record = None if request.key is None else self.keys.find(request.key, request.arrived_at)
         if record is None or record.is_finished:
-            self.finish_attempt(request.number, None if record is None else record.result)
+            self.finish_attempt(request.number, record)
         else:
             record.waiting_attempts.append(request.number)
 
@@ -78,13 +79,23 @@
             self.keys.remove(record)
             self._fail_waiting(record)
 
-    def run_finished(self, request: PendingRequest, outcome: Outcome, result: bytes) -> None:
+    def run_finished(
+        self,
+        request: PendingRequest,
+        outcome: Outcome,
+        result: bytes,
+        cached_dependencies: tuple[str, ...],
+    ) -> None:
         """Record the end of a run; waiting attempts get its result when the request is removed."""
         record = request.key_record
         if record is None:
             return
         record.is_finished = True
-        record.result = result if outcome is Outcome.SUCCEEDED else None
+        if outcome is Outcome.SUCCEEDED:
+            record.result = result
+            record.cached_dependencies = cached_dependencies
+        else:
+            record.result = None
         if outcome is Outcome.NOT_STARTED and not request.call_notice_number:  # certain not to have run
             self.keys.remove(record)
             self._fail_waiting(record)
@@ -112,7 +123,7 @@
         waiting = record.waiting_attempts
         record.waiting_attempts = []
         for number in waiting:
-            self.finish_attempt(number, record.result)
+            self.finish_attempt(number, record)
 
     def _fail_waiting(self, record: KeyRecord) -> None:
         record.result = None
@@ -152,6 +163,7 @@
         current.has_run = record.has_run
         current.is_finished = record.is_finished or is_free
         current.result = record.result
+        current.cached_dependencies = record.cached_dependencies
         if is_free:
             self.keys.remove(current)
         if current.is_finished:
--- a/saltcart/core/idempotency_keys.py
+++ b/saltcart/core/idempotency_keys.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
+from saltcart.core.messages import FinalResponse, ResponseStatus
+
 Key = tuple[str, str, bytes]  # tenant, class, key; tenants can't use each other's keys
 
 RECORD_BYTES = 1024  # memory of a record in this process, without its result and attempt ids
@@ -34,6 +36,7 @@
     has_run: bool = False
     is_finished: bool = False
     result: bytes | None = None  # set if the run succeeded
+    cached_dependencies: tuple[str, ...] = ()  # whose replies the result has from a cache
     waiting_attempts: list[int] = field(default_factory=list)  # numbers of requests that wait for the result
     previous_window: KeyRecord | None = None  # attempts read late may belong to it
     counted_bytes: int = 0  # included in ``KeyTable.used_bytes``
@@ -46,9 +49,17 @@
     def byte_size(self) -> int:
         """Return the memory that this record uses, or may use once its result is known."""
         result_bytes = len(self.result or b"") if self.is_finished else MAX_RESULT_BYTES
+        result_bytes += sum(len(name) for name in self.cached_dependencies)
         return RECORD_BYTES + result_bytes + ATTEMPT_ID_BYTES * len(self.attempt_ids)
 
 
+def shared_response(record: KeyRecord | None) -> FinalResponse:
+    """Return the response to an attempt that shares the result of a key's run: failed if there is none."""
+    if record is None or record.result is None:
+        return FinalResponse(ResponseStatus.FAILED)
+    return FinalResponse(ResponseStatus.SERVED, record.result, cached_dependencies=record.cached_dependencies)
+
+
 class KeyTable:
     """Idempotency keys up to a limit in bytes; an attempt whose key exceeds the limit must not run."""
 
--- a/saltcart/core/request_intake.py
+++ b/saltcart/core/request_intake.py
@@ -6,7 +6,7 @@
 
 from saltcart.core.clock import CoreClock
 from saltcart.core.draining import DrainState
-from saltcart.core.idempotency_keys import Key, KeyRecord, digest
+from saltcart.core.idempotency_keys import Key, KeyRecord, digest, shared_response
 from saltcart.core.messages import (
     FinalResponse,
     InboundRequest,
@@ -188,7 +188,7 @@
         is_uncertain: Whether the key may have a run that the predecessor didn't report.
     """
     if record is not None and record.result is not None:
-        return FinalResponse(ResponseStatus.SERVED, record.result)
+        return shared_response(record)
     if is_uncertain or (record is not None and record.may_have_run):
         return FinalResponse(ResponseStatus.FAILED)
     return FinalResponse(ResponseStatus.REJECTED, back_off_seconds=UNACCEPTED_BACK_OFF_SECONDS)
--- a/saltcart/core/request_lifecycle.py
+++ b/saltcart/core/request_lifecycle.py
@@ -7,7 +7,7 @@
 from saltcart.core.clock import CoreClock
 from saltcart.core.decision_loop import DecisionLoop
 from saltcart.core.idempotency import IdempotentAttempts
-from saltcart.core.idempotency_keys import KeyTable
+from saltcart.core.idempotency_keys import KeyRecord, KeyTable, shared_response
 from saltcart.core.messages import FinalResponse, ResponseStatus
 from saltcart.core.ports import Ports
 from saltcart.core.request import BLOCKED, CALLING, HELD, JOINED, PAUSED, PendingRequest
@@ -120,17 +120,13 @@
         """Return the number of requests that have no response yet."""
         return sum(request.respond is not None for request in self.requests.values())
 
-    def _finish_joined(self, number: int, result: bytes | None) -> None:
-        """Finish an attempt that waited for another's result, which is None if there is none."""
+    def _finish_joined(self, number: int, record: KeyRecord | None) -> None:
+        """Finish an attempt that waited for another's result, which the record has if the run succeeded."""
         request = self.requests.get(number)
         if request is None:
             return
-        if result is None:
-            response = FinalResponse(ResponseStatus.FAILED)
-            outcome = Outcome.FAILED
-        else:
-            response = FinalResponse(ResponseStatus.SERVED, result)
-            outcome = Outcome.SUCCEEDED
+        response = shared_response(record)
+        succeeded = response.status is ResponseStatus.SERVED
         self.respond(request, response)
-        self.loop.feed(RunFinished(number, outcome, 0.0))
+        self.loop.feed(RunFinished(number, Outcome.SUCCEEDED if succeeded else Outcome.FAILED, 0.0))
         self.remove_if_finished(request)
--- a/saltcart/core/run_tracker.py
+++ b/saltcart/core/run_tracker.py
@@ -62,7 +62,7 @@
             request.phase = PAUSED  # still awaits its response, and may be resumed
             self.loop.feed(event)
             return
-        self.lifecycle.attempts.run_finished(request, outcome, result)
+        self.lifecycle.attempts.run_finished(request, outcome, result, cached_dependencies)
         if outcome is Outcome.SUCCEEDED:
             self._record_success(request, seconds)
         request.phase = HELD  # nothing of it is left in the pool
--- a/saltcart/wire/handover.py
+++ b/saltcart/wire/handover.py
@@ -102,7 +102,7 @@
             carries Unix time.
     """
     account, class_name, key = record.key
-    fields = {
+    fields: dict[str, Any] = {
         "account": account,
         "klass": class_name,
         "key": key.decode("latin-1"),
@@ -113,6 +113,8 @@
         "over": record.is_finished,
         "good": record.result is not None,
     }
+    if record.cached_dependencies:
+        fields["from_memory"] = record.cached_dependencies
     return HandoverPacket(PacketKind.FREED_KEY if is_free else PacketKind.KEY, fields, record.result or b"")
 
 
@@ -138,6 +140,7 @@
             has_run=bool(fields["ran"]),
             is_finished=bool(fields["over"]),
             result=packet.data if fields["good"] else None,
+            cached_dependencies=read_names("from_memory", fields.get("from_memory", [])),
         )
     except (KeyError, AttributeError, TypeError, ValueError) as error:
         raise MalformedMessageError(f"handover: a field of a key is missing or invalid: {error!r}") from error
@@ -285,6 +288,21 @@
     )
 
 
+def read_names(name: str, value: object) -> tuple[str, ...]:
+    """Return the names in a field.
+
+    Args:
+        name: The name of the field.
+        value: Its value, which may be anything that JSON can express.
+
+    Raises:
+        MalformedMessageError: The value is not a list of strings.
+    """
+    if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+        raise MalformedMessageError(f"handover: field {name} is {value!r}, not a list of names")
+    return tuple(value)
+
+
 def read_flag(name: str, value: object) -> bool:
     """Return the truth value in a field.
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -46,10 +46,11 @@
 
 @pytest.mark.parametrize("is_free", [False, True])
 def test_a_key_packet_is_read_as_it_was_written(is_free: bool) -> None:
-    packet = wire.decode(wire.encode(wire.key_packet(KEY_RECORD, is_free)))
-    assert packet.kind == ("gone" if is_free else "entry")
-    record = wire.read_key(packet)
-    assert record == replace(KEY_RECORD, holder_number=0)
+    for sent in (KEY_RECORD, replace(KEY_RECORD, cached_dependencies=("tariff", "archive"))):
+        packet = wire.decode(wire.encode(wire.key_packet(sent, is_free)))
+        assert packet.kind == ("gone" if is_free else "entry")
+        record = wire.read_key(packet)
+        assert record == replace(sent, holder_number=0)
 
 
 @pytest.mark.parametrize(
@@ -147,6 +148,26 @@
     assert predecessor.statuses(3) == ["refused"] and len(predecessor.spawned_ids()) == 2
 
 
+def test_a_shared_result_names_the_cached_replies_that_it_has() -> None:
+    # Guards against an answer of a further try, here or in the next process, that has no From-Memory.
+    predecessor, successor = hand_over_in_memory()
+    successor.submit(11)  # waits for the run in the predecessor
+    cached = ("tariff", "archive")
+    predecessor.service.run_finished(encode_id(1), Outcome.SUCCEEDED, 0.1, b"result", (), cached)
+    predecessor.submit(4)
+    successor.submit(12)
+    for harness, number in ((predecessor, 1), (predecessor, 4), (successor, 11), (successor, 12)):
+        (response,) = harness.responses[encode_id(number)]
+        assert response.body == b"result" and response.cached_dependencies == cached
+
+
+@pytest.mark.parametrize("names", ["tariff", None, [1], {}])
+def test_a_key_packet_with_invalid_names_of_cached_replies_is_malformed(names: object) -> None:
+    fields = {**wire.key_packet(KEY_RECORD, False).fields, "from_memory": names}
+    with pytest.raises(MalformedMessageError, match="from_memory"):
+        wire.read_key(wire.HandoverPacket("entry", fields))
+
+
 @pytest.mark.parametrize("ending", ["run fails", "run never started", "predecessor dies"])
 def test_a_key_runs_again_after_the_predecessor_only_if_its_run_never_started(ending: str) -> None:
     predecessor, successor = hand_over_in_memory()
