Takeover: plain names and comments in what was added, set-up of its tests in one place

Change: ValueInForce in place of Verdict, reaches_successor in place of can_be_told, busy_chain and container for the tests, longest_objective as a property. No behaviour is changed, and no assertion is fewer.

--- a/saltcart/admin/registry.py
+++ b/saltcart/admin/registry.py
@@ -97,7 +97,7 @@
             raise ConfigError(f"{path}: {error}") from None
         for difference in find_differences(saved, self.deployed, used):
             self.log(
-                f"state-{difference.verdict}",
+                f"state-{difference.in_force}",
                 field=difference.field,
                 saved=difference.saved,
                 deployed=difference.deployed,
--- a/saltcart/admin/saved_state.py
+++ b/saltcart/admin/saved_state.py
@@ -1,4 +1,4 @@
-"""The file of state, which keeps changes of tenants and upstreams, beside the deployment file.
+"""The file of state, which keeps changes of tenants and upstreams, and the deployment file.
 
 One rule decides between the two files: what is saved holds, by name, except upstreams that other instances
 know from the deployment file alone.  The differences are returned for the log.
@@ -27,18 +27,18 @@
     upstreams: tuple[UpstreamConf, ...]
 
 
-class Verdict(enum.StrEnum):
-    """What becomes of a saved value that differs from that of the deployment file; part of a log event."""
+class ValueInForce(enum.StrEnum):
+    """Which of two different values is in force; the values are parts of the names of log events."""
 
-    KEPT = "kept"  # it holds, and that of the deployment file does not
-    OVERRULED = "overruled"  # that of the deployment file holds
+    SAVED = "kept"
+    DEPLOYED = "overruled"
 
 
 @dataclass(frozen=True, slots=True)
 class Difference:
     """A field in which the file of state differs from the deployment file."""
 
-    verdict: Verdict
+    in_force: ValueInForce
     field: str  # such as "tenant acme.share", or "upstream kranj" where one file has none of this name
     saved: Any  # as JSON, without secrets; None if the file has no such tenant or upstream
     deployed: Any
@@ -116,10 +116,10 @@
     saved_by_name = {item.name: item for item in saved}
     used_items = [*used]
     for item in deployed:
-        verdict = Verdict.OVERRULED if item in used_items else Verdict.KEPT
+        in_force = ValueInForce.DEPLOYED if item in used_items else ValueInForce.SAVED
         saved_item = saved_by_name.get(item.name)
         if saved_item is None:
-            yield Difference(verdict, f"{kind} {item.name}", None, _without_secrets(item))
+            yield Difference(in_force, f"{kind} {item.name}", None, _without_secrets(item))
             continue
         for field in fields(item):
             saved_value = getattr(saved_item, field.name)
@@ -127,7 +127,7 @@
             if saved_value != deployed_value:
                 name = f"{kind} {item.name}.{field.name}"
                 shown = _without_secrets(saved_value), _without_secrets(deployed_value)
-                yield Difference(verdict, name, *shown)
+                yield Difference(in_force, name, *shown)
 
 
 def _without_secrets(value: Any) -> Any:
--- a/saltcart/app.py
+++ b/saltcart/app.py
@@ -333,12 +333,10 @@
         """Withdraw the instance for operators, or end that, at all of its processes.
 
         Raises:
-            DrainNotSharedError: It holds at this process, but others could not be told.
+            DrainNotSharedError: It holds at this process, but others could not be reached.
         """
-        if self.takeover is None:
-            self.service.set_withdrawn(is_withdrawn)
-        else:
-            self.takeover.operator_drain.set(is_withdrawn)
+        owner = self.service if self.takeover is None else self.takeover.operator_drain
+        owner.set_withdrawn(is_withdrawn)
 
     def begin_drain(self, on_finished: Callable[[], None] = lambda: None, notice_age: float = 0.0) -> None:
         """Drain, before the process is stopped.
--- a/saltcart/core/draining.py
+++ b/saltcart/core/draining.py
@@ -8,7 +8,7 @@
 
 
 class DrainNotSharedError(Exception):
-    """A drain by operators, or its end, holds at this process, but other processes could not be told.
+    """A drain by operators, or its end, holds at this process, but other processes could not be reached.
 
     Attributes:
         process_ids: The ids of those processes, 0 for one that can't be seen from here.
--- a/saltcart/core/service.py
+++ b/saltcart/core/service.py
@@ -73,7 +73,6 @@
         self.timers = Timers()
         self.ports = Ports()
         self.longest_deadline = max(spec.deadline for spec in settings.classes)
-        self.longest_objective = max(spec.latency_objective for spec in settings.classes)
         self._create_components(max_key_bytes, max_run_ids)
         # Creates the retry-storm control when the pool is up, from the settings and the start time.
         self.make_storm_control: Callable[[Settings, float], RetryStormControl] | None = None
@@ -135,6 +134,11 @@
         """The load level that is advertised to clients."""
         return self.lifecycle.load_level
 
+    @property
+    def longest_objective(self) -> float:
+        """The longest latency objective of all classes, in seconds."""
+        return max(spec.latency_objective for spec in self.settings.classes)
+
     @property
     def idle_timeout(self) -> float:
         """Seconds after which an idle client connection is closed."""
--- a/saltcart/front/control.py
+++ b/saltcart/front/control.py
@@ -32,7 +32,7 @@
             service: The service to control.
             is_ready: Returns whether the server can serve requests.
             set_withdrawn: Withdraws the instance for operators, or ends that; raises ``DrainNotSharedError``
-                if other processes of the instance could not be told.
+                if other processes of the instance could not be reached.
         """
         super().__init__(listener, limit=4096)
         self.service, self.is_ready, self.set_withdrawn = service, is_ready, set_withdrawn
--- a/saltcart/net/drain_file.py
+++ b/saltcart/net/drain_file.py
@@ -22,9 +22,9 @@
 
     Each process that has the file open holds two locks, which the kernel removes when the process ends:
 
-    - a shared flock(2) on the file: where nobody else holds one, the byte is left over from an instance that
-      has ended, and is void;
-    - a fcntl(2) lock on the byte at the offset of its process id: it tells the others that this process reads
+    - a shared flock(2) on the file: where no other process holds one, the byte is left over from an instance
+      that has ended, and is void;
+    - a fcntl(2) lock on the byte at the offset of its process id: it shows the others that this process reads
       the file, which earlier releases don't.
     """
 
--- a/saltcart/takeover/load_reports.py
+++ b/saltcart/takeover/load_reports.py
@@ -62,8 +62,8 @@
     def record_end(self, link: HandoverLink) -> None:
         """Count a process that has ended for as long as its load may remain.
 
-        Its runs go on in its worker pool, which reports their ends to nobody, and count for the longest
-        latency objective.  The processes before it report to this one by themselves.
+        Its runs continue in its worker pool, which reports their ends to no process.  They count for the
+        longest latency objective.  The processes before it report to this one on their own links.
         """
         report = self.by_link.get(link)
         if report is None:
--- a/saltcart/takeover/operator_drain.py
+++ b/saltcart/takeover/operator_drain.py
@@ -21,8 +21,8 @@
 class OperatorDrain:
     """Shares the drain by operators with the other processes of the instance, and follows them.
 
-    The processes share it in a file.  A successor of an earlier release, which doesn't read the file, is told
-    by packets; a predecessor of such a release can't be told.
+    The processes share it in a file.  A successor of an earlier release, which doesn't read the file,
+    receives packets; a predecessor of such a release can't be reached.
 
     Args:
         folder: The private folder that all processes of this instance share.
@@ -57,11 +57,11 @@
         self._follow()
         self.follow_task.start()
 
-    def set(self, is_withdrawn: bool) -> None:
+    def set_withdrawn(self, is_withdrawn: bool) -> None:
         """Withdraw the instance for operators, or end that, at this process and all others.
 
         Raises:
-            DrainNotSharedError: It holds at this process, but others could not be told.
+            DrainNotSharedError: It holds at this process, but others could not be reached.
         """
         self._apply(is_withdrawn)
         unreached = [link.peer_process_id for link in self._unreached_links()]
@@ -82,7 +82,7 @@
         links = list[HandoverLink]()
         if self.predecessor.link is not None:
             links.append(self.predecessor.link)
-        if self.successor.link is not None and not self.successor.can_be_told():
+        if self.successor.link is not None and not self.successor.reaches_successor():
             links.append(self.successor.link)
         return [link for link in links if not self.is_shared_with(link)]
 
--- a/saltcart/takeover/successor.py
+++ b/saltcart/takeover/successor.py
@@ -77,8 +77,8 @@
         if reads_load:
             self.load_reporter.start()
 
-    def can_be_told(self) -> bool:
-        """Return whether packets reach the successor."""
+    def reaches_successor(self) -> bool:
+        """Return whether packets reach a successor, which reads them."""
         return self.link is not None and self.link.is_open and self.reads_reports
 
     def _send(self, packet: wire.HandoverPacket) -> None:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -34,13 +34,16 @@
     return response.status, orjson.loads(response.body) if response.body else None
 
 
-def test_tenants_and_upstreams_are_added_changed_and_removed(tmp_path: Path) -> None:
-    def container(name: bytes) -> AjpServer:
-        async def respond(_: ajp.ForwardRequest) -> bytes:
-            return encode_container_response(200, name)
+def container(name: bytes) -> AjpServer:
+    """Return a stand-in container that answers each request with its name."""
+
+    async def respond(_: ajp.ForwardRequest) -> bytes:
+        return encode_container_response(200, name)
+
+    return AjpServer(respond)
 
-        return AjpServer(respond)
 
+def test_tenants_and_upstreams_are_added_changed_and_removed(tmp_path: Path) -> None:
     async def run_scenario() -> None:
         state = tmp_path / "state.json"
         async with container(b"one") as one, container(b"two") as two, running(deployment(state)) as app:
@@ -86,12 +89,6 @@
 
 def test_tenants_that_name_no_upstream_keep_theirs_over_changes_and_a_restart(tmp_path: Path) -> None:
     # Guards against a run at another tenant's servers after a change of the first upstream (review/6).
-    def container(name: bytes) -> AjpServer:
-        async def respond(_: ajp.ForwardRequest) -> bytes:
-            return encode_container_response(200, name)
-
-        return AjpServer(respond)
-
     async def run_scenario() -> None:
         state = tmp_path / "state.json"
         async with container(b"one") as one, container(b"two") as two:
--- a/tests/test_operator_drain.py
+++ b/tests/test_operator_drain.py
@@ -163,7 +163,7 @@
 
 
 def test_a_drain_holds_after_the_process_that_was_called_has_died(shared_platform: Platform) -> None:
-    # Guards against a process that serves again without the drain that its successor was told.
+    # Guards against a process that serves again without the drain that its successor has received.
     async def scenario() -> None:
         async with chain(shared_platform, 1) as (first,):
             async with (
--- a/tests/test_saved_state.py
+++ b/tests/test_saved_state.py
@@ -1,4 +1,4 @@
-"""The file of state beside a deployment file that has changed: which of the two holds, and what is logged."""
+"""The file of state and a deployment file that has changed: which of the two holds, and what is logged."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 def restart(before: Deployment, after: Deployment, path: Path) -> tuple[Registry, EventLog]:
-    """Save the tenants and upstreams of one deployment, and start with them beside another deployment."""
+    """Save the tenants and upstreams of one deployment, and start with them and another deployment."""
     Registry(before, ServiceHarness().service, None, path).set_shares({})
     log = EventLog()
     return Registry(after, ServiceHarness().service, None, path, log), log
--- a/tests/test_takeover_chain.py
+++ b/tests/test_takeover_chain.py
@@ -8,7 +8,10 @@
 import asyncio
 import os
 import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import NamedTuple
 
 import pytest
 
@@ -227,32 +230,50 @@
     return client
 
 
+class BusyChain(NamedTuple):
+    """Three processes of which the last one serves; the others have a run each until a test ends it."""
+
+    second: App
+    third: App
+    first_pool: Pool
+    second_pool: Pool
+    clients: list[HttpClient]  # of the requests 1 and 2, in the first and the second process
+
+
+@asynccontextmanager
+async def busy_chain(shared_platform: Platform) -> AsyncIterator[BusyChain]:
+    """Run three processes in a row, with a request sent to each of the first two while it serves."""
+    environment = shared_platform.environment
+    address = shared_platform.address
+    async with (
+        Pool(finishes_runs=False) as first_pool,
+        Pool(finishes_runs=False) as second_pool,
+        Pool() as third_pool,
+        running(None, environment, pool=first_pool.address, **LONG_DEADLINES),
+    ):
+        clients = [await send_request(address, 1, first_pool)]
+        async with running(None, environment, pool=second_pool.address, **LONG_DEADLINES) as second:
+            clients.append(await send_request(address, 2, second_pool))
+            async with running(None, environment, pool=third_pool.address, **LONG_DEADLINES) as third:
+                yield BusyChain(second, third, first_pool, second_pool, clients)
+        for client in clients:
+            client.drop()
+
+
 def test_the_newest_process_counts_the_load_of_all_older_ones(shared_platform: Platform) -> None:
     # Guards against crowded cores and memory: the newest of three counted the middle one alone (review/8).
     async def scenario() -> None:
-        environment = shared_platform.environment
-        address = shared_platform.address
-        async with (
-            Pool(finishes_runs=False) as first_pool,
-            Pool(finishes_runs=False) as second_pool,
-            Pool() as third_pool,
-            running(None, environment, pool=first_pool.address, **LONG_DEADLINES),
-        ):
-            clients = [await send_request(address, 1, first_pool)]
-            async with running(None, environment, pool=second_pool.address, **LONG_DEADLINES) as second:
-                clients.append(await send_request(address, 2, second_pool))
-                async with running(None, environment, pool=third_pool.address, **LONG_DEADLINES) as third:
-                    assert count_older_runs(second) == 1 and count_older_runs(third) == 2
-                    assert third.service.controller is not None
-                    assert third.service.controller.predecessor.memory_kb == pytest.approx(2 * 4 * 24.5)
-                    assert third.fronts["http"].predecessor_connections == 2
-                    first_pool.finish(encode_id(1))
-                    assert (await clients[0].read_response()).status == 200
-                    await until(lambda: count_older_runs(third) == 1)
-                    second_pool.finish(encode_id(2))
-                    await until(lambda: count_older_runs(third) == 0)
-            for client in clients:
-                client.drop()
+        async with busy_chain(shared_platform) as chain:
+            third = chain.third
+            assert count_older_runs(chain.second) == 1 and count_older_runs(third) == 2
+            assert third.service.controller is not None
+            assert third.service.controller.predecessor.memory_kb == pytest.approx(2 * 4 * 24.5)
+            assert third.fronts["http"].predecessor_connections == 2
+            chain.first_pool.finish(encode_id(1))
+            assert (await chain.clients[0].read_response()).status == 200
+            await until(lambda: count_older_runs(third) == 1)
+            chain.second_pool.finish(encode_id(2))
+            await until(lambda: count_older_runs(third) == 0)
 
     asyncio.run(scenario())
 
@@ -301,30 +322,17 @@
 
 
 def test_runs_of_a_process_that_has_ended_count_until_they_may_be_over(shared_platform: Platform) -> None:
-    # Guards against memory that is given out twice: runs go on in the pool of a process that has ended.
+    # Guards against memory that is given out twice: runs continue in the pool of a process that has ended.
     async def scenario() -> None:
-        environment = shared_platform.environment
-        address = shared_platform.address
-        async with (
-            Pool(finishes_runs=False) as first_pool,
-            Pool(finishes_runs=False) as second_pool,
-            Pool() as third_pool,
-            running(None, environment, pool=first_pool.address, **LONG_DEADLINES),
-        ):
-            clients = [await send_request(address, 1, first_pool)]
-            async with running(None, environment, pool=second_pool.address, **LONG_DEADLINES) as second:
-                clients.append(await send_request(address, 2, second_pool))
-                async with running(None, environment, pool=third_pool.address, **LONG_DEADLINES) as third:
-                    takeover = third.takeover
-                    assert takeover is not None and third.service.longest_objective == 60.0
-                    reports = takeover.older_processes.by_link
-                    (link_to_second,) = reports
-                    await second.close()  # it dies
-                    await until(lambda: reports[link_to_second].older == PredecessorLoad())
-                    assert reports[link_to_second].own.running == 1
-                    assert count_older_runs(third) == 2  # the first one's is reported by itself
-            for client in clients:
-                client.drop()
+        async with busy_chain(shared_platform) as chain:
+            takeover = chain.third.takeover
+            assert takeover is not None and chain.third.service.longest_objective == 60.0
+            reports = takeover.older_processes.by_link
+            (link_to_second,) = reports
+            await chain.second.close()  # it dies
+            await until(lambda: reports[link_to_second].older == PredecessorLoad())
+            assert reports[link_to_second].own.running == 1
+            assert count_older_runs(chain.third) == 2  # the first process reports its run itself
 
     asyncio.run(scenario())
 
