Takeover: a process that watches one of an earlier release reports no load to it

Cause: after the middle one of three processes has ended, the oldest watches the newest. Found by reading the change again.

Change: Successor.watch ends the reports, and starts them anew where they are read.

Measured: test_the_load_of_the_oldest_process_counts_after_the_middle_one_has_died[False] checks it now, and failed before.

--- a/saltcart/takeover/successor.py
+++ b/saltcart/takeover/successor.py
@@ -34,9 +34,8 @@
         self.fronts = fronts
         # Set while a successor serves, even if the link to it was lost.
         self.link: HandoverLink | None = None
-        self.reads_reports = (
-            False  # this process has handed over on the link; otherwise it only watches the peer
-        )
+        # Set if this process has handed over on the link; otherwise it only watches the peer.
+        self.reads_reports = False
         self.load_reporter = LoadReporter(service, fronts, older_processes, self._send)
         self.next_batch_timer: asyncio.TimerHandle | None = None
 
@@ -74,6 +73,7 @@
         self.link = link
         self.reads_reports = False
         self.end_connections()
+        self.load_reporter.stop()
         if reads_load:
             self.load_reporter.start()
 
--- a/tests/test_takeover_chain.py
+++ b/tests/test_takeover_chain.py
@@ -290,7 +290,7 @@
         async with (
             Pool(finishes_runs=False) as first_pool,
             Pool() as later_pool,
-            running(None, environment, pool=first_pool.address, **LONG_DEADLINES),
+            running(None, environment, pool=first_pool.address, **LONG_DEADLINES) as first,
         ):
             client = await send_request(shared_platform.address, 1, first_pool)
             async with (
@@ -316,6 +316,9 @@
                 first_pool.finish(encode_id(1))
                 assert (await client.read_response()).status == 200
                 await until(lambda: count_older_runs(third) == 0)
+                assert first.takeover is not None
+                load_reporter = first.takeover.successor.load_reporter
+                assert (load_reporter.task.handle is not None) == reads_reports
                 assert not log.find("handover-malformed")
 
     asyncio.run(scenario())
